--- /dev/null
+++ b/crates/backend/src/answer.rs
@@ -0,0 +1,73 @@
+//! Checks that an answer is whole and belongs to its request.
+
+use model::{CallOutcome, NotRunReason, RequestId, UnknownReason};
+use reqwest::{
+    Response, StatusCode,
+    header::{CONNECTION, CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING},
+};
+
+use crate::{CallFailure, LOAD_HEADER, LoadHint, NOT_RUN_HEADER, REQUEST_ID_HEADER, ServerAnswer};
+
+/// Reads the whole answer to request `id`.
+pub(crate) async fn read_answer(
+    response: Response,
+    id: &RequestId,
+    method: &str,
+) -> Result<ServerAnswer, CallFailure> {
+    let status = response.status();
+    let load = load_hint(response.headers());
+    let fail = |outcome| CallFailure { outcome, is_refused: false, load };
+    if header(response.headers(), REQUEST_ID_HEADER) != Some(id.as_str()) {
+        return Err(fail(CallOutcome::Unknown(UnknownReason::AnswerCrossed)));
+    }
+    if let Some(reason) = not_run_reason(status, response.headers()) {
+        return Err(fail(CallOutcome::NotRun(reason)));
+    }
+    if !has_declared_end(status, method, response.headers()) {
+        return Err(fail(CallOutcome::Unknown(UnknownReason::AnswerCut)));
+    }
+    let headers = passed_headers(response.headers());
+    match response.bytes().await {
+        Ok(body) => Ok(ServerAnswer { status: status.as_u16(), headers, body, load }),
+        Err(_) => Err(fail(CallOutcome::Unknown(UnknownReason::AnswerCut))),
+    }
+}
+
+fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name).and_then(|it| it.to_str().ok())
+}
+
+fn not_run_reason(status: StatusCode, headers: &HeaderMap) -> Option<NotRunReason> {
+    let reason = header(headers, NOT_RUN_HEADER).filter(|_| status.is_server_error())?;
+    match reason {
+        "fenced" => Some(NotRunReason::Fenced),
+        "deadline" => Some(NotRunReason::DeadlinePassed),
+        _ => Some(NotRunReason::Shed),
+    }
+}
+
+/// Without a declared end, a cut answer cannot be told from a whole one.
+fn has_declared_end(status: StatusCode, method: &str, headers: &HeaderMap) -> bool {
+    let is_bodyless = matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    let is_chunked = header(headers, TRANSFER_ENCODING.as_str())
+        .is_some_and(|it| it.to_ascii_lowercase().ends_with("chunked"));
+    method == "HEAD" || is_bodyless || is_chunked || headers.contains_key(CONTENT_LENGTH)
+}
+
+fn load_hint(headers: &HeaderMap) -> Option<LoadHint> {
+    let (running, waiting) = header(headers, LOAD_HEADER)?.split_once('/')?;
+    Some(LoadHint { running: running.parse().ok()?, waiting: waiting.parse().ok()? })
+}
+
+/// The headers that concern the caller rather than this connection.
+fn passed_headers(headers: &HeaderMap) -> Vec<(String, String)> {
+    headers
+        .iter()
+        .filter(|(name, _)| {
+            let is_ours = matches!(name.as_str(), LOAD_HEADER | NOT_RUN_HEADER | REQUEST_ID_HEADER);
+            !is_ours && **name != CONNECTION && **name != TRANSFER_ENCODING
+        })
+        .filter(|(name, _)| **name != CONTENT_LENGTH && name.as_str() != "date")
+        .filter_map(|(name, value)| Some((name.to_string(), value.to_str().ok()?.to_owned())))
+        .collect()
+}
--- /dev/null
+++ b/crates/operator/src/client.rs
@@ -0,0 +1,32 @@
+//! Reading another process's operator edge.
+
+use std::{net::SocketAddr, time::Duration};
+
+use eyre::WrapErr;
+use reqwest::{Client, StatusCode};
+
+/// Longest wait for an answer.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Fetches the dump of the process whose operator edge is at `address`.
+///
+/// # Errors
+/// When the process does not answer with JSON.
+pub async fn fetch_dump(address: SocketAddr) -> eyre::Result<serde_json::Value> {
+    let answer = fetch(address, "dump").await?;
+    answer.json().await.wrap_err_with(|| format!("step=read-dump peer={address}"))
+}
+
+/// Whether the process at `address` asks the balancer for work.
+///
+/// # Errors
+/// When the process does not answer.
+pub async fn fetch_health(address: SocketAddr) -> eyre::Result<bool> {
+    Ok(fetch(address, "health").await?.status() == StatusCode::OK)
+}
+
+async fn fetch(address: SocketAddr, path: &str) -> eyre::Result<reqwest::Response> {
+    let client = Client::builder().no_proxy().timeout(FETCH_TIMEOUT).build()?;
+    let url = format!("http://{address}/{path}");
+    client.get(url).send().await.wrap_err_with(|| format!("step=fetch-{path} peer={address}"))
+}
--- /dev/null
+++ b/crates/ownership/src/lib.rs
@@ -0,0 +1,28 @@
+//! Decisions about ownership: maps, witnesses, leases, grants and hand-over.
+//!
+//! Everything here is a pure state machine. Each deciding function takes the present time and
+//! returns what the caller must do; sockets and timers live in the `router` and `planner` crates.
+
+mod homes;
+mod map;
+mod messages;
+mod placement;
+mod planner;
+mod router_view;
+mod timing;
+mod witness;
+
+pub use homes::{HomeEntry, HomesTable, initial_homes, plan_releases};
+pub use map::{DomainMap, MapStamp, OwnerEntry, PreviousOwner, SlicePhase, VmId, quorum_size};
+pub use messages::{
+    AcceptAnswer, AcceptAsk, GrantAnswer, GrantOrder, LeaseAnswer, LeaseAsk, PrepareAnswer,
+    PrepareAsk,
+};
+pub use placement::{PlacementInput, SliceLoad, place_slices};
+pub use planner::{
+    DomainPlanner, PlannerAction, PlannerDump, PlannerEvent, PlannerIdentity, SheetDoc,
+    StoredRecord, WriteOutcome,
+};
+pub use router_view::{OwnerRoute, RouterView};
+pub use timing::LeaseTiming;
+pub use witness::WitnessState;
--- /dev/null
+++ b/crates/ownership/src/planner/acting.rs
@@ -0,0 +1,366 @@
+//! The acting planner: heartbeats, authority and commitment of maps.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use model::{DomainName, MapVersion, MonoTime, ServerName, SliceKey, Term, VmName};
+
+use super::{
+    ActingDump, NextRole, PlannerAction, PlannerContext, PlannerEvent, PlannerRole,
+    candidates::greet,
+    election::ElectionState,
+    following::FollowingState,
+    grants::{self, ServerEntry},
+    handover::{self, Handover},
+    leases::RouterEntry,
+    proposal::{self, Proposal},
+};
+use crate::{AcceptAnswer, AcceptAsk, DomainMap, LeaseTiming, MapStamp, VmId, map::quorum_size};
+
+/// Time after which an unanswered heartbeat no longer holds back the next.
+const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Time between reads of the domain's record while nothing changes.
+const RECORD_POLL_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// What a witness last answered.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct WitnessEntry {
+    /// Newest map that it accepted.
+    pub(super) stamp: MapStamp,
+    /// When the newest accepted heartbeat was sent.
+    pub(super) asked_at: Option<MonoTime>,
+    sent_at: Option<MonoTime>,
+    needs_map: bool,
+    /// Open slices in the newest map that it accepted.
+    n_open: usize,
+}
+
+/// State of the acting planner.
+#[derive(Debug)]
+pub(super) struct ActingState {
+    /// The newest map; in force only once committed.
+    pub(super) map: Arc<DomainMap>,
+    /// The newest map behind which a majority stands.
+    pub(super) published: Option<Arc<DomainMap>>,
+    /// Whether `map` is known to be in the store.
+    pub(super) is_saved: bool,
+    pub(super) witnesses: BTreeMap<VmId, WitnessEntry>,
+    heartbeat_at: Option<MonoTime>,
+    pub(super) proposal: Option<Proposal>,
+    pub(super) routers: BTreeMap<VmId, RouterEntry>,
+    /// No lease that an earlier planner gave runs past this time.
+    pub(super) predecessor_until: MonoTime,
+    pub(super) servers: BTreeMap<ServerName, ServerEntry>,
+    pub(super) handovers: BTreeMap<SliceKey, Handover>,
+    /// Slices that leave the domain, and where they go.
+    pub(super) releases: BTreeMap<SliceKey, DomainName>,
+    /// Released slices that no server or router uses any more.
+    pub(super) vacated: BTreeSet<SliceKey>,
+    pub(super) homes_written_at: Option<MonoTime>,
+    pub(super) balanced_at: MonoTime,
+    pub(super) loads: BTreeMap<SliceKey, f64>,
+    started_at: MonoTime,
+    polled_at: MonoTime,
+    /// Newest version that was ever proposed in this term.
+    pub(super) last_version: MapVersion,
+}
+
+impl ActingState {
+    /// Acting under a record that this VM wrote itself, with no earlier leases running.
+    pub(super) fn founded(map: Arc<DomainMap>, now: MonoTime) -> Self {
+        Self::new(map, true, now, now)
+    }
+
+    /// Acting under promises, while leases of the predecessor may run on.
+    pub(super) fn taken_over(map: DomainMap, timing: &LeaseTiming, now: MonoTime) -> Self {
+        let until = now + timing.authority + timing.drift_margin;
+        Self::new(Arc::new(map), false, until, now)
+    }
+
+    fn new(map: Arc<DomainMap>, is_saved: bool, until: MonoTime, now: MonoTime) -> Self {
+        Self {
+            last_version: map.stamp.version,
+            polled_at: now,
+            map,
+            published: None,
+            is_saved,
+            witnesses: BTreeMap::new(),
+            heartbeat_at: None,
+            proposal: None,
+            routers: BTreeMap::new(),
+            predecessor_until: until,
+            servers: BTreeMap::new(),
+            handovers: BTreeMap::new(),
+            releases: BTreeMap::new(),
+            vacated: BTreeSet::new(),
+            homes_written_at: None,
+            balanced_at: now,
+            loads: BTreeMap::new(),
+            started_at: now,
+        }
+    }
+
+    pub(super) fn term(&self) -> Term {
+        self.map.stamp.term
+    }
+
+    pub(super) fn started_at(&self) -> MonoTime {
+        self.started_at
+    }
+
+    /// End of the right to act: an authority's length after the newest heartbeat that a majority
+    /// of each witness set accepted.
+    pub(super) fn authority_end(&self, timing: &LeaseTiming) -> MonoTime {
+        let ends = self.map.quorum_sets().map(|set| {
+            let mut asked: Vec<MonoTime> = set
+                .iter()
+                .filter_map(|it| self.witnesses.get(it))
+                .filter(|it| it.stamp.term == self.map.stamp.term)
+                .filter_map(|it| it.asked_at)
+                .collect();
+            asked.sort_by(|a, b| b.cmp(a));
+            let newest = asked.get(quorum_size(set.len()) - 1);
+            newest.map_or_else(MonoTime::default, |it| *it + timing.authority)
+        });
+        ends.min().unwrap_or_default()
+    }
+
+    /// Time left to act, less the margin for drifting clocks.
+    pub(super) fn authority_left(&self, timing: &LeaseTiming, now: MonoTime) -> Duration {
+        self.authority_end(timing).since(now + timing.drift_margin)
+    }
+
+    /// Whether a majority stands behind the newest map.
+    pub(super) fn is_committed(&self) -> bool {
+        self.published.as_ref().is_some_and(|it| it.stamp == self.map.stamp)
+    }
+
+    /// Replaces the newest map; heartbeats carry it from now on.
+    pub(super) fn adopt(&mut self, mut map: DomainMap) {
+        map.merge_phases(&self.map);
+        self.map = Arc::new(map);
+        self.heartbeat_at = None;
+        for entry in self.witnesses.values_mut() {
+            entry.sent_at = None;
+        }
+    }
+
+    pub(super) fn dump(&self, timing: &LeaseTiming, now: MonoTime) -> ActingDump {
+        let owners = self.map.entries.iter().map(|(key, it)| {
+            let owner = it.owner.as_ref().map_or_else(|| "none".to_owned(), |o| o.to_string());
+            (key.to_string(), format!("{owner} {} {:?}", it.token, it.phase))
+        });
+        let routers = self.routers.iter().map(|(id, it)| (id.to_string(), it.describe(now)));
+        ActingDump {
+            stamp: self.map.stamp.to_string(),
+            authority_left_ms: self.authority_left(timing, now).as_millis() as u64,
+            is_saved: self.is_saved,
+            witnesses: self.map.all_witnesses().iter().map(|it| it.to_string()).collect(),
+            routers: routers.collect(),
+            servers: self.servers.iter().map(|(k, it)| (k.to_string(), it.describe())).collect(),
+            handovers: self
+                .handovers
+                .iter()
+                .map(|(k, it)| (k.to_string(), it.step_name().to_owned()))
+                .collect(),
+            owners: owners.collect(),
+        }
+    }
+}
+
+pub(super) fn handle(
+    state: &mut ActingState,
+    event: &PlannerEvent,
+    ctx: &mut PlannerContext<'_>,
+    actions: &mut Vec<PlannerAction>,
+) -> NextRole {
+    let next = match event {
+        PlannerEvent::AcceptAnswered { from, asked_at, stamp, answer } => {
+            take_accept(state, from, *asked_at, *stamp, answer.as_ref(), ctx, actions)
+        }
+        PlannerEvent::RecordRead(_) | PlannerEvent::RecordWritten { .. } => {
+            proposal::take_record(state, event, ctx, actions)
+        }
+        PlannerEvent::HomesWritten(_) => {
+            ctx.record.observe(event, None, ctx.now);
+            if matches!(event, PlannerEvent::HomesWritten(Some(_))) {
+                state.homes_written_at = None;
+            }
+            None
+        }
+        PlannerEvent::ServerAnswered { server, sent_at, answer } => {
+            grants::take_answer(state, server, *sent_at, answer, ctx)
+        }
+        PlannerEvent::LoadsReported(loads) => {
+            state.loads = loads.clone();
+            None
+        }
+        _ => None,
+    };
+    if next.is_some() {
+        return next;
+    }
+    let is_tick = matches!(event, PlannerEvent::Tick);
+    if is_tick {
+        greet(ctx, actions);
+        poll_record(state, ctx, actions);
+    }
+    heartbeat(state, ctx, actions);
+    commit(state, actions);
+    if state.authority_left(&ctx.identity.timing, ctx.now).is_zero() {
+        return lost_authority(state, ctx);
+    }
+    proposal::advance(state, ctx, actions);
+    if is_tick {
+        proposal::propose(state, ctx, actions);
+    }
+    handover::advance(state, ctx);
+    grants::advance(state, ctx, actions);
+    commit(state, actions);
+    None
+}
+
+/// Reads the record now and then, to know whether the store answers and nobody else has written.
+fn poll_record(
+    state: &mut ActingState,
+    ctx: &mut PlannerContext<'_>,
+    actions: &mut Vec<PlannerAction>,
+) {
+    let is_due = ctx.now.since(state.polled_at) >= RECORD_POLL_INTERVAL;
+    if is_due && !ctx.record.is_writing() {
+        state.polled_at = ctx.now;
+        ctx.record.read(ctx.now, actions);
+    }
+}
+
+/// Silence of the own witnesses after which the planner stops trying and follows again.
+const ABDICATION_AFTER: Duration = Duration::from_secs(2);
+
+fn lost_authority(state: &ActingState, ctx: &PlannerContext<'_>) -> NextRole {
+    let end = state.authority_end(&ctx.identity.timing).max(state.started_at());
+    let is_hopeless = ctx.now.since(end) >= ABDICATION_AFTER;
+    is_hopeless.then(|| PlannerRole::Following(FollowingState::new(ctx.now)))
+}
+
+fn heartbeat(
+    state: &mut ActingState,
+    ctx: &mut PlannerContext<'_>,
+    actions: &mut Vec<PlannerAction>,
+) {
+    let timing = &ctx.identity.timing;
+    let is_due = state.heartbeat_at.is_none_or(|it| ctx.now.since(it) >= timing.heartbeat);
+    if !is_due {
+        return;
+    }
+    state.heartbeat_at = Some(ctx.now);
+    let stamp = state.map.stamp;
+    let n_open = state.map.open_count();
+    for witness in state.map.all_witnesses() {
+        let entry = state.witnesses.entry(witness.clone()).or_default();
+        let is_waiting = entry.sent_at.is_some_and(|it| ctx.now.since(it) < HEARTBEAT_TIMEOUT);
+        if is_waiting {
+            continue;
+        }
+        let needs_map = entry.needs_map || entry.stamp != stamp || entry.n_open < n_open;
+        if needs_map {
+            entry.n_open = n_open;
+        }
+        let ask = AcceptAsk {
+            domain: ctx.identity.domain.clone(),
+            witness: witness.clone(),
+            planner: ctx.identity.id.clone(),
+            stamp,
+            map: needs_map.then(|| state.map.clone()),
+        };
+        if witness == ctx.identity.id {
+            accept_own(entry, &ask, ctx);
+            continue;
+        }
+        entry.sent_at = Some(ctx.now);
+        actions.push(PlannerAction::Accept(ask));
+    }
+}
+
+fn accept_own(entry: &mut WitnessEntry, ask: &AcceptAsk, ctx: &mut PlannerContext<'_>) {
+    let answer = ctx.witness.answer_accept(ask, ctx.now);
+    entry.needs_map = answer == AcceptAnswer::NeedMap;
+    if answer == AcceptAnswer::Accepted {
+        entry.stamp = ask.stamp;
+        entry.asked_at = Some(ctx.now);
+    }
+}
+
+fn take_accept(
+    state: &mut ActingState,
+    from: &VmId,
+    asked_at: MonoTime,
+    stamp: MapStamp,
+    answer: Option<&AcceptAnswer>,
+    ctx: &mut PlannerContext<'_>,
+    actions: &mut Vec<PlannerAction>,
+) -> NextRole {
+    let own_term = state.term();
+    if stamp.term != own_term {
+        return None;
+    }
+    let entry = state.witnesses.entry(from.clone()).or_default();
+    if entry.sent_at == Some(asked_at) {
+        entry.sent_at = None;
+    }
+    match answer {
+        Some(AcceptAnswer::Accepted) => {
+            entry.stamp = entry.stamp.max(stamp);
+            entry.asked_at = entry.asked_at.max(Some(asked_at));
+            entry.needs_map = false;
+            None
+        }
+        Some(AcceptAnswer::NeedMap) => {
+            entry.needs_map = true;
+            state.heartbeat_at = None;
+            None
+        }
+        Some(AcceptAnswer::Refused { promised }) if *promised > own_term => {
+            ctx.witness.observe_term(*promised);
+            let base = state.published.clone().unwrap_or_else(|| state.map.clone());
+            Some(PlannerRole::Electing(ElectionState::start(base, ctx, actions)))
+        }
+        Some(AcceptAnswer::Restarted { current }) => {
+            ctx.book.note_hello(&from.name, *current, ctx.now);
+            None
+        }
+        Some(AcceptAnswer::Refused { .. }) | None => {
+            entry.needs_map = true;
+            None
+        }
+    }
+}
+
+/// Publishes the newest map once a majority of each witness set stands behind it.
+fn commit(state: &mut ActingState, actions: &mut Vec<PlannerAction>) {
+    let stamp = state.map.stamp;
+    let is_accepted = state
+        .map
+        .has_quorum(|it| state.witnesses.get(it).is_some_and(|entry| entry.stamp >= stamp));
+    let is_news = state.published.as_ref().is_none_or(|it| **it != *state.map);
+    if !is_accepted || !is_news {
+        return;
+    }
+    if !state.is_committed() {
+        handover::begin(state);
+    }
+    state.published = Some(state.map.clone());
+    actions.push(PlannerAction::Publish(state.map.clone()));
+}
+
+/// Names of the VMs whose witness entry counts as lost.
+pub(super) fn is_witness_good(state: &ActingState, id: &VmId, ctx: &PlannerContext<'_>) -> bool {
+    let timing = &ctx.identity.timing;
+    let heard_at =
+        state.witnesses.get(id).and_then(|it| it.asked_at).unwrap_or_else(|| state.started_at());
+    let is_listed = |vm: &VmName| ctx.sheet.is_some_and(|it| it.sheet.vms.contains_key(vm));
+    !ctx.book.is_dead(id) && is_listed(&id.name) && ctx.now.since(heard_at) < timing.witness_replace
+}
--- /dev/null
+++ b/crates/ownership/src/planner/election.rs
@@ -0,0 +1,240 @@
+//! A candidate: it collects promises, or proofs that a majority can never answer again.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use model::{MonoTime, Term};
+use smallvec::SmallVec;
+
+use super::{
+    NextRole, PlannerAction, PlannerContext, PlannerEvent, PlannerRole, WriteOutcome,
+    acting::ActingState,
+    candidates::{desired_witnesses, greet},
+    following::FollowingState,
+};
+use crate::{DomainMap, MapStamp, PrepareAnswer, PrepareAsk, VmId, map::quorum_size};
+
+/// Time after which an undecided election is given up.
+const ELECTION_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Collecting promises for `term`.
+#[derive(Debug)]
+pub(super) struct ElectionState {
+    term: Term,
+    base: Arc<DomainMap>,
+    promises: BTreeMap<VmId, MonoTime>,
+    asked: SmallVec<[VmId; 5]>,
+    started_at: MonoTime,
+    /// When it was proved that no majority of the old witnesses can answer any more.
+    cold_since: Option<MonoTime>,
+    founding: Option<Arc<DomainMap>>,
+}
+
+impl ElectionState {
+    /// Starts an election for the term after every term known to this VM.
+    pub(super) fn start(
+        base: Arc<DomainMap>,
+        ctx: &mut PlannerContext<'_>,
+        actions: &mut Vec<PlannerAction>,
+    ) -> Self {
+        let term = ctx.witness.promised().max(base.stamp.term).next();
+        let mut state = Self {
+            term,
+            base,
+            promises: BTreeMap::new(),
+            asked: SmallVec::new(),
+            started_at: ctx.now,
+            cold_since: None,
+            founding: None,
+        };
+        state.ask_witnesses(ctx, actions);
+        state
+    }
+
+    pub(super) fn term(&self) -> Term {
+        self.term
+    }
+
+    fn ask_witnesses(&mut self, ctx: &mut PlannerContext<'_>, actions: &mut Vec<PlannerAction>) {
+        for witness in self.base.all_witnesses() {
+            if self.asked.contains(&witness) {
+                continue;
+            }
+            self.asked.push(witness.clone());
+            let ask = PrepareAsk {
+                domain: ctx.identity.domain.clone(),
+                witness,
+                candidate: ctx.identity.id.clone(),
+                term: self.term,
+            };
+            match ask.witness == ctx.identity.id {
+                true => self.promise_to_self(&ask, ctx),
+                false => actions.push(PlannerAction::Prepare(ask)),
+            }
+        }
+    }
+
+    fn promise_to_self(&mut self, ask: &PrepareAsk, ctx: &mut PlannerContext<'_>) {
+        let answer = ctx.witness.answer_prepare(ask, &ctx.identity.timing, ctx.now);
+        if let PrepareAnswer::Promised { .. } = answer {
+            self.promises.insert(ask.witness.clone(), ctx.now);
+        }
+    }
+
+    /// Takes the newest map that a witness stood behind.
+    fn learn_base(&mut self, accepted: Option<&Arc<DomainMap>>) {
+        match accepted {
+            Some(map) if map.stamp > self.base.stamp => {
+                let mut map = DomainMap::clone(map);
+                map.merge_phases(&self.base);
+                self.base = Arc::new(map);
+            }
+            Some(map) => {
+                let mut base = DomainMap::clone(&self.base);
+                base.merge_phases(map);
+                self.base = Arc::new(base);
+            }
+            None => (),
+        }
+    }
+
+    /// Whether too few witnesses are left alive for any majority.
+    ///
+    /// While two sets count, both must be dead: a planner that gave up the change acts under one.
+    fn is_majority_dead(&self, ctx: &PlannerContext<'_>) -> bool {
+        let own = &ctx.identity.id;
+        let is_former_self = |it: &VmId| it.name == own.name && it != own;
+        self.base.quorum_sets().all(|set| {
+            let is_dead = |it: &&VmId| is_former_self(it) || ctx.book.is_dead(it);
+            let n_dead = set.iter().filter(is_dead).count();
+            set.len() - n_dead < quorum_size(set.len())
+        })
+    }
+}
+
+pub(super) fn handle(
+    state: &mut ElectionState,
+    event: &PlannerEvent,
+    ctx: &mut PlannerContext<'_>,
+    actions: &mut Vec<PlannerAction>,
+) -> NextRole {
+    ctx.record.observe(event, state.founding.as_ref(), ctx.now);
+    match event {
+        PlannerEvent::Tick => tick(state, ctx, actions),
+        PlannerEvent::PrepareAnswered { from, term, answer: Some(answer) }
+            if *term == state.term =>
+        {
+            take_answer(state, from, answer, ctx, actions)
+        }
+        PlannerEvent::RecordRead(Some(record)) => {
+            let is_mine = state.founding.take().is_some_and(|it| record.map.as_ref() == Some(&it));
+            match &record.map {
+                Some(map) if is_mine => Some(found(map.clone(), ctx)),
+                Some(map) if map.stamp.term >= state.term => {
+                    ctx.witness.observe_term(map.stamp.term);
+                    Some(give_up(ctx))
+                }
+                _ => None,
+            }
+        }
+        PlannerEvent::RecordWritten { outcome: WriteOutcome::Written(_), .. } => {
+            state.founding.take().map(|it| found(it, ctx))
+        }
+        PlannerEvent::RecordWritten { .. } => {
+            ctx.record.read(ctx.now, actions);
+            None
+        }
+        _ => None,
+    }
+}
+
+fn found(map: Arc<DomainMap>, ctx: &PlannerContext<'_>) -> PlannerRole {
+    PlannerRole::Acting(Box::new(ActingState::founded(map, ctx.now)))
+}
+
+fn give_up(ctx: &PlannerContext<'_>) -> PlannerRole {
+    let pause = ctx.identity.timing.planner_silence;
+    PlannerRole::Following(FollowingState::new(ctx.now + pause))
+}
+
+fn take_answer(
+    state: &mut ElectionState,
+    from: &VmId,
+    answer: &PrepareAnswer,
+    ctx: &mut PlannerContext<'_>,
+    actions: &mut Vec<PlannerAction>,
+) -> NextRole {
+    match answer {
+        PrepareAnswer::Promised { accepted } => {
+            state.promises.insert(from.clone(), ctx.now);
+            state.learn_base(accepted.as_ref());
+            state.ask_witnesses(ctx, actions);
+            let is_won = state.base.has_quorum(|it| state.promises.contains_key(it));
+            is_won.then(|| win(state, ctx))
+        }
+        PrepareAnswer::Refused { promised } => {
+            ctx.witness.observe_term(*promised);
+            Some(give_up(ctx))
+        }
+        PrepareAnswer::PlannerAlive => None,
+        PrepareAnswer::Restarted { current } => {
+            ctx.book.note_hello(&from.name, *current, ctx.now);
+            None
+        }
+    }
+}
+
+/// Takes over the map that the majority last stood behind, without changing any owner.
+fn win(state: &ElectionState, ctx: &PlannerContext<'_>) -> PlannerRole {
+    let mut map = DomainMap::clone(&state.base);
+    map.stamp = MapStamp { term: state.term, version: map.stamp.version.next() };
+    map.planner = ctx.identity.id.clone();
+    PlannerRole::Acting(Box::new(ActingState::taken_over(map, &ctx.identity.timing, ctx.now)))
+}
+
+fn tick(
+    state: &mut ElectionState,
+    ctx: &mut PlannerContext<'_>,
+    actions: &mut Vec<PlannerAction>,
+) -> NextRole {
+    greet(ctx, actions);
+    if state.base.has_quorum(|it| state.promises.contains_key(it)) {
+        return Some(win(state, ctx));
+    }
+    if state.is_majority_dead(ctx) {
+        return refound(state, ctx, actions);
+    }
+    let is_over = ctx.now.since(state.started_at) >= ELECTION_TIMEOUT;
+    is_over.then(|| give_up(ctx))
+}
+
+/// Writes a new record with new witnesses, once every lease under the old ones has lapsed.
+fn refound(
+    state: &mut ElectionState,
+    ctx: &mut PlannerContext<'_>,
+    actions: &mut Vec<PlannerAction>,
+) -> NextRole {
+    let cold_since = *state.cold_since.get_or_insert(ctx.now);
+    let timing = &ctx.identity.timing;
+    let is_lapsed = ctx.now.since(cold_since) >= timing.authority + timing.drift_margin * 2;
+    if ctx.record.is_writing() || state.founding.is_some() {
+        return None;
+    }
+    let record = ctx.record.known().cloned();
+    match record {
+        Some(record) if is_lapsed => {
+            state.learn_base(record.map.as_ref());
+            let current = state.base.witnesses.clone();
+            let mut map = DomainMap::clone(&state.base);
+            map.stamp = MapStamp { term: state.term, version: map.stamp.version.next() };
+            map.planner = ctx.identity.id.clone();
+            map.witnesses = desired_witnesses(ctx, &current, |it| !ctx.book.is_dead(it));
+            map.joint_witnesses = SmallVec::new();
+            let map = Arc::new(map);
+            state.founding = Some(map.clone());
+            ctx.record.write(map, actions);
+        }
+        Some(_) => (),
+        None => ctx.record.read(ctx.now, actions),
+    }
+    None
+}
--- /dev/null
+++ b/crates/ownership/src/planner/following.rs
@@ -0,0 +1,153 @@
+//! A planner that does not act: it listens, and starts an election when the planner is silent.
+
+use std::{sync::Arc, time::Duration};
+
+use model::{MapVersion, MonoTime, Term};
+use smallvec::SmallVec;
+
+use super::{
+    NextRole, PlannerAction, PlannerContext, PlannerEvent, PlannerRole, WriteOutcome,
+    acting::ActingState,
+    candidates::{desired_witnesses, greet},
+    election::ElectionState,
+};
+use crate::{DomainMap, MapStamp};
+
+/// Silence after which a VM that is no witness looks into the store.
+const COLD_SILENCE: Duration = Duration::from_millis(800);
+
+/// Additional wait of each further VM before it founds the domain's record.
+const FOUNDING_STAGGER: Duration = Duration::from_millis(250);
+
+/// Waiting for a planner to be heard.
+#[derive(Debug)]
+pub(super) struct FollowingState {
+    /// No election starts before this time.
+    not_before: MonoTime,
+    founding: Option<Arc<DomainMap>>,
+}
+
+impl FollowingState {
+    pub(super) fn new(not_before: MonoTime) -> Self {
+        Self { not_before, founding: None }
+    }
+}
+
+pub(super) fn handle(
+    state: &mut FollowingState,
+    event: &PlannerEvent,
+    ctx: &mut PlannerContext<'_>,
+    actions: &mut Vec<PlannerAction>,
+) -> NextRole {
+    ctx.record.observe(event, state.founding.as_ref(), ctx.now);
+    match event {
+        PlannerEvent::Tick => tick(state, ctx, actions),
+        PlannerEvent::RecordRead(Some(record)) if record.map.is_some() => {
+            let base = record.map.clone()?;
+            let is_mine = state.founding.take().is_some_and(|it| it.stamp == base.stamp)
+                && base.planner == ctx.identity.id;
+            match is_mine {
+                true => Some(found(base, ctx)),
+                false => None,
+            }
+        }
+        PlannerEvent::RecordWritten { outcome: WriteOutcome::Written(_), .. } => {
+            state.founding.take().map(|it| found(it, ctx))
+        }
+        PlannerEvent::RecordWritten { .. } => {
+            ctx.record.read(ctx.now, actions);
+            None
+        }
+        _ => None,
+    }
+}
+
+fn found(map: Arc<DomainMap>, ctx: &PlannerContext<'_>) -> PlannerRole {
+    PlannerRole::Acting(Box::new(ActingState::founded(map, ctx.now)))
+}
+
+fn tick(
+    state: &mut FollowingState,
+    ctx: &mut PlannerContext<'_>,
+    actions: &mut Vec<PlannerAction>,
+) -> NextRole {
+    let silence = ctx.now.since(ctx.witness.heard_at());
+    if ctx.now < state.not_before || silence < ctx.identity.timing.planner_silence {
+        return None;
+    }
+    greet(ctx, actions);
+    match ctx.witness.accepted().cloned() {
+        Some(map) if silence >= takeover_wait(&map, ctx) => start_election(map, ctx, actions),
+        _ if silence >= COLD_SILENCE => look_into_store(state, ctx, actions),
+        _ => None,
+    }
+}
+
+/// Silence after which this witness seeks a takeover.
+fn takeover_wait(map: &DomainMap, ctx: &PlannerContext<'_>) -> Duration {
+    let timing = &ctx.identity.timing;
+    let others = map.witnesses.iter().filter(|it| **it != map.planner);
+    match others.clone().position(|it| *it == ctx.identity.id) {
+        Some(rank) => timing.planner_silence + timing.takeover_stagger * rank as u32,
+        None if map.planner == ctx.identity.id => timing.planner_silence,
+        None => COLD_SILENCE,
+    }
+}
+
+fn start_election(
+    base: Arc<DomainMap>,
+    ctx: &mut PlannerContext<'_>,
+    actions: &mut Vec<PlannerAction>,
+) -> NextRole {
+    Some(PlannerRole::Electing(ElectionState::start(base, ctx, actions)))
+}
+
+fn look_into_store(
+    state: &mut FollowingState,
+    ctx: &mut PlannerContext<'_>,
+    actions: &mut Vec<PlannerAction>,
+) -> NextRole {
+    if ctx.record.is_writing() {
+        return None;
+    }
+    match ctx.record.known().cloned() {
+        Some(record) if record.map.is_some() => {
+            let base = record.map?;
+            ctx.witness.observe_term(base.stamp.term);
+            start_election(base, ctx, actions)
+        }
+        Some(_) if is_my_turn_to_found(ctx) => {
+            let map = Arc::new(founding_map(ctx));
+            state.founding = Some(map.clone());
+            ctx.record.write(map, actions);
+            None
+        }
+        _ => {
+            ctx.record.read(ctx.now, actions);
+            None
+        }
+    }
+}
+
+fn is_my_turn_to_found(ctx: &PlannerContext<'_>) -> bool {
+    let Some(doc) = ctx.sheet else {
+        return false;
+    };
+    let mut vms = doc.sheet.vms_of(&ctx.identity.domain);
+    let Some(rank) = vms.position(|it| it.name == ctx.identity.id.name) else {
+        return false;
+    };
+    let silence = ctx.now.since(ctx.witness.heard_at());
+    silence >= COLD_SILENCE + FOUNDING_STAGGER * rank as u32
+}
+
+fn founding_map(ctx: &PlannerContext<'_>) -> DomainMap {
+    DomainMap {
+        domain: ctx.identity.domain.clone(),
+        stamp: MapStamp { term: Term(1), version: MapVersion(1) },
+        planner: ctx.identity.id.clone(),
+        witnesses: desired_witnesses(ctx, &[], |_| false),
+        joint_witnesses: SmallVec::new(),
+        entries: Default::default(),
+    }
+}
--- /dev/null
+++ b/crates/ownership/src/planner/grants.rs
@@ -0,0 +1,305 @@
+//! The planner's dealings with backend servers: grants, their lapse, and signs of life.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use model::{FencingToken, MonoTime, OwnerCheck, ServerName, ServiceKind, SliceKey};
+
+use super::{
+    NextRole, PlannerAction, PlannerContext, PlannerRole, acting::ActingState,
+    following::FollowingState,
+};
+use crate::{GrantAnswer, GrantOrder, SlicePhase};
+
+/// Time after which an unanswered order no longer holds back the next.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Whether a server can be relied on to own slices.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum ServerState {
+    /// Nothing has been heard from it yet.
+    Unknown,
+    /// It answers.
+    Alive,
+    /// It has not answered for a while; it may wake.
+    Silent,
+    /// Its host refused a connection; what it held is gone.
+    Dead,
+}
+
+/// What the planner knows of one server.
+#[derive(Debug)]
+pub(super) struct ServerEntry {
+    state: ServerState,
+    check: OwnerCheck,
+    first_at: MonoTime,
+    heard_at: Option<MonoTime>,
+    alive_since: MonoTime,
+    was_lost: bool,
+    sent_at: Option<MonoTime>,
+    due_at: MonoTime,
+    /// Receipt to quote, and when it arrived.
+    basis: Option<(String, MonoTime)>,
+    /// No lease given to the server runs past this time.
+    lapses_at: MonoTime,
+    set_version: u64,
+    granted: BTreeMap<SliceKey, FencingToken>,
+    /// Newest set that the server holds.
+    acked: u64,
+    /// Set version at which each revoked slice was first missing.
+    revoked: BTreeMap<SliceKey, u64>,
+    /// Set version at which each granted slice was first present.
+    added: BTreeMap<SliceKey, u64>,
+}
+
+impl ServerEntry {
+    fn new(check: OwnerCheck, lapses_at: MonoTime, now: MonoTime) -> Self {
+        Self {
+            state: ServerState::Unknown,
+            check,
+            first_at: now,
+            heard_at: None,
+            alive_since: now,
+            was_lost: false,
+            sent_at: None,
+            due_at: now,
+            basis: None,
+            lapses_at,
+            set_version: 1,
+            granted: BTreeMap::new(),
+            acked: 0,
+            revoked: BTreeMap::new(),
+            added: BTreeMap::new(),
+        }
+    }
+
+    /// Sends the next order at once.
+    pub(super) fn hasten(&mut self) {
+        self.due_at = MonoTime::default();
+        self.sent_at = None;
+    }
+
+    pub(super) fn describe(&self) -> String {
+        let Self { state, set_version, acked, granted, .. } = self;
+        format!("{state:?} set={set_version} acked={acked} granted={}", granted.len())
+    }
+
+    fn change_set(&mut self) {
+        self.set_version += 1;
+        self.due_at = MonoTime::default();
+        self.sent_at = None;
+    }
+
+    fn lose(&mut self, state: ServerState) {
+        self.state = state;
+        self.was_lost = true;
+    }
+}
+
+impl ActingState {
+    pub(super) fn server_state(&self, server: &ServerName) -> ServerState {
+        self.servers.get(server).map_or(ServerState::Unknown, |it| it.state)
+    }
+
+    /// Whether the server may be given slices that it does not own yet.
+    pub(super) fn may_receive(
+        &self,
+        server: &ServerName,
+        return_after: Duration,
+        now: MonoTime,
+    ) -> bool {
+        self.servers.get(server).is_some_and(|it| {
+            let is_settled = !it.was_lost || now.since(it.alive_since) >= return_after;
+            it.state == ServerState::Alive && is_settled
+        })
+    }
+
+    /// Whether the server may keep the slices it owns.
+    pub(super) fn may_keep(&self, server: &ServerName) -> bool {
+        matches!(self.server_state(server), ServerState::Alive | ServerState::Unknown)
+    }
+
+    pub(super) fn grant(&mut self, server: &ServerName, key: &SliceKey, token: FencingToken) {
+        if let Some(entry) = self.servers.get_mut(server)
+            && entry.granted.insert(key.clone(), token) != Some(token)
+        {
+            entry.change_set();
+            entry.revoked.remove(key);
+            entry.added.insert(key.clone(), entry.set_version);
+        }
+    }
+
+    pub(super) fn revoke(&mut self, server: &ServerName, key: &SliceKey) {
+        if let Some(entry) = self.servers.get_mut(server) {
+            entry.granted.remove(key);
+            entry.added.remove(key);
+            entry.change_set();
+            entry.revoked.insert(key.clone(), entry.set_version);
+        }
+    }
+
+    /// Whether the server holds the slice's grant.
+    pub(super) fn holds_grant(&self, server: &ServerName, key: &SliceKey) -> bool {
+        self.servers.get(server).is_some_and(|it| {
+            it.granted.contains_key(key)
+                && it.added.get(key).is_some_and(|version| it.acked >= *version)
+        })
+    }
+
+    /// Whether the server cannot hold the slice's grant any more.
+    pub(super) fn has_given_up(
+        &self,
+        server: &ServerName,
+        key: &SliceKey,
+        margin: Duration,
+        now: MonoTime,
+    ) -> bool {
+        let Some(entry) = self.servers.get(server) else {
+            return now >= self.predecessor_until;
+        };
+        let has_acked = entry.revoked.get(key).is_some_and(|version| entry.acked >= *version);
+        entry.state == ServerState::Dead || has_acked || now >= entry.lapses_at + margin
+    }
+}
+
+/// Takes in a server's answer to an order or a probe.
+pub(super) fn take_answer(
+    state: &mut ActingState,
+    server: &ServerName,
+    sent_at: MonoTime,
+    answer: &GrantAnswer,
+    ctx: &mut PlannerContext<'_>,
+) -> NextRole {
+    let term = state.term();
+    let entry = state.servers.get_mut(server)?;
+    if entry.sent_at == Some(sent_at) {
+        entry.sent_at = None;
+    }
+    match answer {
+        GrantAnswer::Acked { term: acked_term, set_version, basis } => {
+            entry.hear(ctx.now);
+            entry.basis = Some((basis.clone(), ctx.now));
+            if *acked_term == term {
+                entry.acked = entry.acked.max(*set_version);
+            }
+        }
+        GrantAnswer::NeedSet { basis } => {
+            entry.hear(ctx.now);
+            entry.basis = Some((basis.clone(), ctx.now));
+            entry.acked = 0;
+            entry.due_at = ctx.now;
+        }
+        GrantAnswer::Rejected { term: later } if *later > term => {
+            ctx.witness.observe_term(*later);
+            return Some(PlannerRole::Following(FollowingState::new(ctx.now)));
+        }
+        GrantAnswer::Refused => {
+            entry.lose(ServerState::Dead);
+            entry.acked = 0;
+            entry.basis = None;
+        }
+        GrantAnswer::Rejected { .. } | GrantAnswer::Silent => (),
+    }
+    None
+}
+
+impl ServerEntry {
+    fn hear(&mut self, now: MonoTime) {
+        self.heard_at = Some(now);
+        if self.state != ServerState::Alive {
+            self.state = ServerState::Alive;
+            self.alive_since = now;
+        }
+    }
+}
+
+/// Sends the orders and probes that are due, and notices silent servers.
+pub(super) fn advance(
+    state: &mut ActingState,
+    ctx: &PlannerContext<'_>,
+    actions: &mut Vec<PlannerAction>,
+) {
+    enlist_servers(state, ctx);
+    notice_silence(state, ctx);
+    let timing = &ctx.identity.timing;
+    let authority_end = state.authority_end(timing) - timing.drift_margin;
+    let term = state.term();
+    for (server, entry) in &mut state.servers {
+        let is_waiting = entry.sent_at.is_some_and(|it| ctx.now.since(it) < ORDER_TIMEOUT);
+        let address = ctx.sheet.and_then(|it| it.sheet.servers.get(server)).map(|it| it.address);
+        let Some(address) = address.filter(|_| !is_waiting && ctx.now >= entry.due_at) else {
+            continue;
+        };
+        entry.sent_at = Some(ctx.now);
+        entry.due_at = ctx.now + timing.grant_renewal;
+        actions.push(match entry.check {
+            OwnerCheck::None => PlannerAction::Probe { server: server.clone(), address },
+            OwnerCheck::Token => {
+                let order = next_order(entry, term, timing.grant_lease, authority_end);
+                PlannerAction::Grant { server: server.clone(), address, order }
+            }
+        });
+    }
+}
+
+fn next_order(
+    entry: &mut ServerEntry,
+    term: model::Term,
+    longest: Duration,
+    authority_end: MonoTime,
+) -> GrantOrder {
+    let (basis, lease) = match &entry.basis {
+        Some((basis, received_at)) => {
+            let lease = longest.min(authority_end.since(*received_at));
+            entry.lapses_at = entry.lapses_at.max(*received_at + lease);
+            (Some(basis.clone()), lease)
+        }
+        None => (None, Duration::ZERO),
+    };
+    let is_held = entry.acked == entry.set_version;
+    let entries = (!is_held).then(|| entry.granted.iter().map(|(k, t)| (k.clone(), *t)).collect());
+    GrantOrder { term, set_version: entry.set_version, basis, lease, entries }
+}
+
+/// Adds servers of the domain's keyed services, with the grants that they already hold.
+fn enlist_servers(state: &mut ActingState, ctx: &PlannerContext<'_>) {
+    let Some(doc) = ctx.sheet else { return };
+    for row in doc.sheet.servers.values().filter(|it| it.domain == ctx.identity.domain) {
+        let Some(spec) = doc.sheet.services.get(&row.service) else { continue };
+        let ServiceKind::Keyed { check, .. } = spec.kind else { continue };
+        if state.servers.contains_key(&row.name) {
+            continue;
+        }
+        let mut entry = ServerEntry::new(check, state.predecessor_until, ctx.now);
+        for (key, owned) in &state.map.entries {
+            let is_owner = owned.owner.as_ref() == Some(&row.name);
+            let previous = owned.previous.iter().find(|it| it.server == row.name);
+            match (owned.phase, previous) {
+                (SlicePhase::Open, _) if is_owner => entry.adopt_grant(key, owned.token),
+                (SlicePhase::Moving, Some(it)) => entry.adopt_grant(key, it.token),
+                _ => (),
+            }
+        }
+        state.servers.insert(row.name.clone(), entry);
+    }
+    let margin = ctx.identity.timing.drift_margin;
+    state.servers.retain(|name, entry| {
+        doc.sheet.servers.contains_key(name) || ctx.now < entry.lapses_at + margin
+    });
+}
+
+impl ServerEntry {
+    fn adopt_grant(&mut self, key: &SliceKey, token: FencingToken) {
+        self.granted.insert(key.clone(), token);
+        self.added.insert(key.clone(), self.set_version);
+    }
+}
+
+fn notice_silence(state: &mut ActingState, ctx: &PlannerContext<'_>) {
+    for entry in state.servers.values_mut() {
+        let heard_at = entry.heard_at.unwrap_or(entry.first_at);
+        let is_silent = ctx.now.since(heard_at) >= ctx.identity.timing.server_silence;
+        if is_silent && matches!(entry.state, ServerState::Alive | ServerState::Unknown) {
+            entry.lose(ServerState::Silent);
+        }
+    }
+}
--- /dev/null
+++ b/crates/ownership/src/planner/handover.rs
@@ -0,0 +1,251 @@
+//! Hand-over of a slice from its previous owners to its next.
+//!
+//! The steps can only be taken in order: routers confirm the map and finish old work, previous
+//! owners give the slice up or lose their lease, the next owner holds its grant, the slice opens.
+
+use std::{sync::Arc, time::Duration};
+
+use model::{FencingToken, OwnerCheck, ServerName, ServiceKind, SliceKey};
+use smallvec::SmallVec;
+
+use super::{PlannerContext, acting::ActingState, grants::ServerState};
+use crate::{DomainMap, MapStamp, OwnerEntry, PreviousOwner, SlicePhase};
+
+/// Routers may still send to a previous owner.
+#[derive(Debug)]
+pub(super) struct AwaitRouters {
+    required: MapStamp,
+}
+
+/// No router sends to a previous owner; it may still hold its grant.
+#[derive(Debug)]
+pub(super) struct AwaitRevoke(());
+
+/// No previous owner holds a grant; the next one does not yet.
+#[derive(Debug)]
+pub(super) struct AwaitGrant(());
+
+impl AwaitRouters {
+    fn confirmed(self) -> AwaitRevoke {
+        AwaitRevoke(())
+    }
+}
+
+impl AwaitRevoke {
+    fn vacated(self) -> AwaitGrant {
+        AwaitGrant(())
+    }
+}
+
+#[derive(Debug)]
+enum HandoverStep {
+    Routers(AwaitRouters),
+    Revoke(AwaitRevoke),
+    Grant(AwaitGrant),
+    Done,
+}
+
+/// One slice on its way to its next owner.
+#[derive(Debug)]
+pub(super) struct Handover {
+    token: FencingToken,
+    step: HandoverStep,
+}
+
+impl Handover {
+    pub(super) fn step_name(&self) -> &'static str {
+        match self.step {
+            HandoverStep::Routers(_) => "await-routers",
+            HandoverStep::Revoke(_) => "await-revoke",
+            HandoverStep::Grant(_) => "await-grant",
+            HandoverStep::Done => "done",
+        }
+    }
+}
+
+/// Starts a hand-over for each slice of the newly committed map that is not open.
+pub(super) fn begin(state: &mut ActingState) {
+    let map = state.map.clone();
+    let required = map.stamp;
+    state.handovers.retain(|key, it| {
+        map.entries
+            .get(key)
+            .is_some_and(|entry| entry.token == it.token && entry.phase == SlicePhase::Moving)
+    });
+    state.vacated.retain(|key| map.entries.get(key).is_some_and(|entry| entry.owner.is_none()));
+    for (key, entry) in map.entries.iter().filter(|(_, it)| it.phase == SlicePhase::Moving) {
+        let is_vacated = state.vacated.contains(key);
+        if is_vacated || state.handovers.contains_key(key) {
+            continue;
+        }
+        let step = HandoverStep::Routers(AwaitRouters { required });
+        state.handovers.insert(key.clone(), Handover { token: entry.token, step });
+    }
+}
+
+/// Takes every step whose condition holds now.
+pub(super) fn advance(state: &mut ActingState, ctx: &PlannerContext<'_>) {
+    let map = state.map.clone();
+    let mut handovers = std::mem::take(&mut state.handovers);
+    let mut opened: SmallVec<[SliceKey; 8]> = SmallVec::new();
+    for (key, handover) in &mut handovers {
+        let Some(entry) = map.entries.get(key).filter(|it| it.token == handover.token) else {
+            continue;
+        };
+        let slice = MovingSlice { key, entry, rules: slice_rules(key, ctx) };
+        let step = std::mem::replace(&mut handover.step, HandoverStep::Done);
+        handover.step = take_steps(step, &slice, state, ctx);
+        if matches!(handover.step, HandoverStep::Done) {
+            opened.push(key.clone());
+        }
+    }
+    handovers.retain(|_, it| !matches!(it.step, HandoverStep::Done));
+    state.handovers = handovers;
+    open(state, &opened);
+}
+
+struct MovingSlice<'a> {
+    key: &'a SliceKey,
+    entry: &'a OwnerEntry,
+    rules: SliceRules,
+}
+
+#[derive(Clone, Copy)]
+struct SliceRules {
+    check: OwnerCheck,
+    deadline: Duration,
+}
+
+fn slice_rules(key: &SliceKey, ctx: &PlannerContext<'_>) -> SliceRules {
+    let spec = ctx.sheet.and_then(|it| it.sheet.services.get(&key.service));
+    match spec.map(|it| (it.kind, it.deadline)) {
+        Some((ServiceKind::Keyed { check, .. }, deadline)) => SliceRules { check, deadline },
+        _ => SliceRules { check: OwnerCheck::None, deadline: Duration::from_secs(60) },
+    }
+}
+
+fn take_steps(
+    step: HandoverStep,
+    slice: &MovingSlice<'_>,
+    state: &mut ActingState,
+    ctx: &PlannerContext<'_>,
+) -> HandoverStep {
+    match step {
+        HandoverStep::Routers(it) if are_routers_clear(it.required, slice, state, ctx) => {
+            for previous in &slice.entry.previous {
+                state.revoke(&previous.server, slice.key);
+            }
+            take_steps(HandoverStep::Revoke(it.confirmed()), slice, state, ctx)
+        }
+        HandoverStep::Revoke(it) if are_previous_vacated(slice, state, ctx) => {
+            match &slice.entry.owner {
+                Some(owner) => {
+                    state.grant(owner, slice.key, slice.entry.token);
+                    take_steps(HandoverStep::Grant(it.vacated()), slice, state, ctx)
+                }
+                None => {
+                    state.vacated.insert(slice.key.clone());
+                    HandoverStep::Done
+                }
+            }
+        }
+        HandoverStep::Grant(it) => match is_granted(slice, state) {
+            true => HandoverStep::Done,
+            false => HandoverStep::Grant(it),
+        },
+        step => step,
+    }
+}
+
+/// Whether no router sends to a previous owner any more and no old work can still run there.
+fn are_routers_clear(
+    required: MapStamp,
+    slice: &MovingSlice<'_>,
+    state: &ActingState,
+    ctx: &PlannerContext<'_>,
+) -> bool {
+    let timing = &ctx.identity.timing;
+    let needs_drain = slice.entry.previous.iter().any(|it| needs_drain(it, slice, state));
+    let after = match needs_drain {
+        true => timing.drift_margin + slice.rules.deadline,
+        false => timing.drift_margin,
+    };
+    let has_previous = !slice.entry.previous.is_empty();
+    let predecessor_lapsed = match needs_drain && state.predecessor_until > state.started_at() {
+        true => ctx.now >= state.predecessor_until + slice.rules.deadline,
+        false => ctx.now >= state.predecessor_until,
+    };
+    let is_clear = state.routers.values().all(|it| match needs_drain {
+        true => it.has_drained(required) || it.is_lapsed(after, ctx.now),
+        false => it.has_confirmed(required) || it.is_lapsed(after, ctx.now),
+    });
+    !has_previous || (predecessor_lapsed && is_clear)
+}
+
+/// Whether work at a previous owner must end before the slice moves on.
+///
+/// A server that is gone runs nothing. A silent one that checks tokens lets its own lease lapse.
+fn needs_drain(previous: &PreviousOwner, slice: &MovingSlice<'_>, state: &ActingState) -> bool {
+    match state.server_state(&previous.server) {
+        ServerState::Dead => false,
+        ServerState::Silent => slice.rules.check == OwnerCheck::None,
+        ServerState::Alive | ServerState::Unknown => true,
+    }
+}
+
+fn are_previous_vacated(
+    slice: &MovingSlice<'_>,
+    state: &ActingState,
+    ctx: &PlannerContext<'_>,
+) -> bool {
+    slice.entry.previous.iter().all(|it| match slice.rules.check {
+        OwnerCheck::None => true,
+        OwnerCheck::Token => {
+            state.has_given_up(&it.server, slice.key, ctx.identity.timing.drift_margin, ctx.now)
+        }
+    })
+}
+
+fn is_granted(slice: &MovingSlice<'_>, state: &ActingState) -> bool {
+    match (&slice.entry.owner, slice.rules.check) {
+        (Some(owner), OwnerCheck::Token) => state.holds_grant(owner, slice.key),
+        (Some(_), OwnerCheck::None) => true,
+        (None, _) => false,
+    }
+}
+
+fn open(state: &mut ActingState, opened: &[SliceKey]) {
+    if opened.is_empty() {
+        return;
+    }
+    let mut map = DomainMap::clone(&state.map);
+    for key in opened {
+        if let Some(entry) = map.entries.get_mut(key).filter(|it| it.owner.is_some()) {
+            entry.phase = SlicePhase::Open;
+        }
+    }
+    state.map = Arc::new(map);
+}
+
+/// Earlier owners of a slice whose next owner is `next`.
+pub(super) fn previous_owners(
+    entry: &OwnerEntry,
+    next: Option<&ServerName>,
+) -> SmallVec<[PreviousOwner; 1]> {
+    let current = entry
+        .owner
+        .iter()
+        .map(|server| PreviousOwner { server: server.clone(), token: entry.token });
+    let older = match entry.phase {
+        SlicePhase::Open => &[],
+        SlicePhase::Moving => entry.previous.as_slice(),
+    };
+    let mut all: SmallVec<[PreviousOwner; 1]> = SmallVec::new();
+    for previous in current.chain(older.iter().cloned()) {
+        let is_next = next == Some(&previous.server);
+        if !is_next && all.iter().all(|it| it.server != previous.server) {
+            all.push(previous);
+        }
+    }
+    all
+}
--- /dev/null
+++ b/crates/ownership/src/planner/leases.rs
@@ -0,0 +1,74 @@
+//! Leases of routers on the published map.
+
+use std::time::Duration;
+
+use model::{MapVersion, MonoTime};
+
+use super::acting::ActingState;
+use crate::{LeaseAnswer, LeaseAsk, LeaseTiming, MapStamp};
+
+/// What a router last confirmed, and until when it may use an older map.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct RouterEntry {
+    held: MapStamp,
+    drained: MapVersion,
+    lease_until: MonoTime,
+}
+
+impl RouterEntry {
+    /// Whether the router obeys a map at least as new as `stamp`.
+    pub(super) fn has_confirmed(&self, stamp: MapStamp) -> bool {
+        self.held >= stamp
+    }
+
+    /// Whether all work that the router sent under older maps than `version` has ended.
+    pub(super) fn has_drained(&self, stamp: MapStamp) -> bool {
+        self.held >= stamp && self.drained >= stamp.version
+    }
+
+    /// Whether the router's last lease ran out at least `after` ago.
+    pub(super) fn is_lapsed(&self, after: Duration, now: MonoTime) -> bool {
+        now >= self.lease_until + after
+    }
+
+    pub(super) fn describe(&self, now: MonoTime) -> String {
+        let left = self.lease_until.since(now).as_millis();
+        format!("map={} drained={} lease_left_ms={left}", self.held, self.drained)
+    }
+}
+
+/// Answers one router. A router that is behind gets the map and no lease.
+pub(super) fn answer_lease(
+    state: &mut ActingState,
+    ask: &LeaseAsk,
+    timing: &LeaseTiming,
+    now: MonoTime,
+) -> LeaseAnswer {
+    let left = state.authority_left(timing, now);
+    let Some(map) = state.published.clone().filter(|_| !left.is_zero()) else {
+        return LeaseAnswer::NotActing { planner: None };
+    };
+    for server in &ask.suspects {
+        if let Some(entry) = state.servers.get_mut(server) {
+            entry.hasten();
+        }
+    }
+    let entry = state.routers.entry(ask.router.clone()).or_insert(RouterEntry {
+        held: MapStamp::default(),
+        drained: MapVersion::default(),
+        lease_until: now,
+    });
+    entry.held = entry.held.max(ask.held);
+    entry.drained = entry.drained.max(ask.drained);
+    match ask.held {
+        held if held > map.stamp => LeaseAnswer::NotActing { planner: None },
+        held if held < map.stamp || (ask.held_open as usize) < map.open_count() => {
+            LeaseAnswer::Behind { map }
+        }
+        held => {
+            let lease = timing.router_lease.min(left);
+            entry.lease_until = entry.lease_until.max(now + lease);
+            LeaseAnswer::Leased { stamp: held, lease }
+        }
+    }
+}
--- /dev/null
+++ b/crates/ownership/src/planner/proposal.rs
@@ -0,0 +1,336 @@
+//! Changes of the map: what should change, and making a change durable before it is used.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use model::{FencingToken, MonoTime, ServerName, ServiceKind, ServiceName, SliceKey};
+use sheet::WorkState;
+use smallvec::SmallVec;
+
+use super::{
+    NextRole, PlannerAction, PlannerContext, PlannerEvent, PlannerRole, WriteOutcome,
+    acting::{ActingState, is_witness_good},
+    candidates::desired_witnesses,
+    following::FollowingState,
+    handover::previous_owners,
+};
+use crate::{
+    DomainMap, MapStamp, OwnerEntry, PlacementInput, SlicePhase, initial_homes, place_slices,
+    plan_releases,
+};
+
+/// Time between rounds of moves that only even out load.
+const BALANCE_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// Most slices that one such round moves.
+const BALANCE_BUDGET: usize = 4;
+
+/// Time after which homes that were not seen to be written are written again.
+const HOMES_RETRY: Duration = Duration::from_millis(600);
+
+/// Time that the store has to record a change of witnesses.
+const WITNESS_CHANGE_PATIENCE: Duration = Duration::from_millis(1_000);
+
+/// A map on its way into the store.
+#[derive(Debug)]
+pub(super) struct Proposal {
+    map: Arc<DomainMap>,
+    started_at: MonoTime,
+    changes_witnesses: bool,
+}
+
+/// Takes in the end of a read or write of the record.
+pub(super) fn take_record(
+    state: &mut ActingState,
+    event: &PlannerEvent,
+    ctx: &mut PlannerContext<'_>,
+    actions: &mut Vec<PlannerAction>,
+) -> NextRole {
+    let pending = state.proposal.as_ref().map_or(&state.map, |it| &it.map).clone();
+    let written = match event {
+        PlannerEvent::RecordWritten { stamp, .. } if *stamp == state.map.stamp => state.map.clone(),
+        _ => pending,
+    };
+    ctx.record.observe(event, Some(&written), ctx.now);
+    match event {
+        PlannerEvent::RecordWritten { stamp, outcome: WriteOutcome::Written(_) } => {
+            note_durable(state, *stamp);
+            None
+        }
+        PlannerEvent::RecordRead(Some(record)) => match &record.map {
+            Some(map) if map.stamp.term > state.term() => {
+                ctx.witness.observe_term(map.stamp.term);
+                Some(PlannerRole::Following(FollowingState::new(ctx.now)))
+            }
+            Some(map) if map.planner == ctx.identity.id => {
+                note_durable(state, map.stamp);
+                None
+            }
+            _ => None,
+        },
+        PlannerEvent::RecordWritten { .. } => {
+            ctx.record.read(ctx.now, actions);
+            None
+        }
+        _ => None,
+    }
+}
+
+/// The store holds the map with this stamp, which this planner made.
+fn note_durable(state: &mut ActingState, stamp: MapStamp) {
+    if stamp == state.map.stamp {
+        state.is_saved = true;
+    }
+    let is_proposed = state.proposal.as_ref().is_some_and(|it| it.map.stamp == stamp);
+    if let Some(proposal) = state.proposal.take_if(|_| is_proposed) {
+        state.adopt(DomainMap::clone(&proposal.map));
+        state.is_saved = true;
+    }
+}
+
+/// Saves or adopts the proposal under way as far as it can go now.
+pub(super) fn advance(
+    state: &mut ActingState,
+    ctx: &mut PlannerContext<'_>,
+    actions: &mut Vec<PlannerAction>,
+) {
+    adopt_unsaved(state, ctx);
+    drop_overdue(state, ctx);
+    save(state, ctx, actions);
+    write_homes(state, ctx, actions);
+}
+
+/// While the store is out of reach, the witnesses' majority makes a change durable instead.
+fn adopt_unsaved(state: &mut ActingState, ctx: &PlannerContext<'_>) {
+    let patience = ctx.identity.timing.store_patience;
+    let is_overdue = state
+        .proposal
+        .as_ref()
+        .is_some_and(|it| !it.changes_witnesses && ctx.now.since(it.started_at) >= patience);
+    if let Some(proposal) = state.proposal.take_if(|_| is_overdue) {
+        state.adopt(DomainMap::clone(&proposal.map));
+        state.is_saved = false;
+    }
+}
+
+/// Gives up a change of witnesses that the store does not record, so that others can go ahead.
+fn drop_overdue(state: &mut ActingState, ctx: &PlannerContext<'_>) {
+    let is_overdue = |it: &Proposal| {
+        it.changes_witnesses && ctx.now.since(it.started_at) >= WITNESS_CHANGE_PATIENCE
+    };
+    state.proposal.take_if(|it| is_overdue(it));
+}
+
+/// Keeps one write or read of the record under way while something is not in the store.
+fn save(state: &ActingState, ctx: &mut PlannerContext<'_>, actions: &mut Vec<PlannerAction>) {
+    let map = match &state.proposal {
+        Some(proposal) => proposal.map.clone(),
+        None if !state.is_saved => state.map.clone(),
+        None => return,
+    };
+    match ctx.record.known() {
+        _ if ctx.record.is_writing() || ctx.record.is_reading() => {
+            if ctx.record.is_reading() && !ctx.record.is_writing() {
+                ctx.record.read(ctx.now, actions);
+            }
+        }
+        Some(_) => ctx.record.write(map, actions),
+        None => ctx.record.read(ctx.now, actions),
+    }
+}
+
+/// Proposes the next map when the present one is committed and something should change.
+pub(super) fn propose(
+    state: &mut ActingState,
+    ctx: &mut PlannerContext<'_>,
+    actions: &mut Vec<PlannerAction>,
+) {
+    if state.proposal.is_some() || !state.is_committed() {
+        return;
+    }
+    let mut next = DomainMap::clone(&state.map);
+    next.stamp.version = state.last_version.max(next.stamp.version).next();
+    let changes_witnesses = change_witnesses(&mut next, state, ctx);
+    if !changes_witnesses {
+        plan_leaving(state, ctx);
+        change_owners(&mut next, state, ctx);
+    }
+    if next.entries == state.map.entries && !changes_witnesses {
+        return;
+    }
+    state.last_version = next.stamp.version;
+    let map = Arc::new(next);
+    state.proposal = Some(Proposal { map, started_at: ctx.now, changes_witnesses });
+    save(state, ctx, actions);
+}
+
+/// Puts the desired witnesses into `next`. Both sets count until the map after.
+fn change_witnesses(next: &mut DomainMap, state: &ActingState, ctx: &PlannerContext<'_>) -> bool {
+    if !ctx.record.is_reachable(ctx.now) {
+        return false;
+    }
+    if !next.joint_witnesses.is_empty() {
+        next.joint_witnesses = SmallVec::new();
+        return true;
+    }
+    let is_good = |it: &crate::VmId| is_witness_good(state, it, ctx);
+    let desired = desired_witnesses(ctx, &state.map.witnesses, is_good);
+    let mut current = state.map.witnesses.clone();
+    current.sort();
+    if desired == current {
+        return false;
+    }
+    next.joint_witnesses = std::mem::replace(&mut next.witnesses, desired);
+    true
+}
+
+/// Chooses the slices that leave the domain. None are chosen while the store cannot record it.
+fn plan_leaving(state: &mut ActingState, ctx: &PlannerContext<'_>) {
+    let Some(doc) = ctx.sheet.filter(|_| ctx.record.is_reachable(ctx.now)) else {
+        return;
+    };
+    let is_balancing = ctx.now.since(state.balanced_at) >= BALANCE_INTERVAL;
+    let budget = if is_balancing { BALANCE_BUDGET } else { 0 };
+    let unserved = unserved_services(state, ctx);
+    let domain = &ctx.identity.domain;
+    let planned = plan_releases(&doc.sheet, ctx.homes, domain, &unserved, budget, ctx.wall);
+    state.releases.retain(|key, _| {
+        let is_home = ctx.homes.entries.get(key).is_some_and(|it| it.domain == *domain);
+        let is_closed = state.map.entries.get(key).is_some_and(|it| it.owner.is_none());
+        is_home && is_closed
+    });
+    for (key, target) in planned {
+        state.releases.entry(key).or_insert(target);
+    }
+}
+
+/// Keyed services for which the domain has servers of which none answers.
+fn unserved_services(state: &ActingState, ctx: &PlannerContext<'_>) -> BTreeSet<ServiceName> {
+    let Some(doc) = ctx.sheet else {
+        return BTreeSet::new();
+    };
+    let is_settled = ctx.now.since(state.started_at()) >= ctx.identity.timing.server_return;
+    let has_live = |service: &ServiceName| {
+        doc.sheet
+            .servers_of(service)
+            .filter(|it| it.domain == ctx.identity.domain)
+            .any(|it| state.may_keep(&it.name))
+    };
+    doc.sheet.services.keys().filter(|it| is_settled && !has_live(it)).cloned().collect()
+}
+
+fn change_owners(next: &mut DomainMap, state: &mut ActingState, ctx: &PlannerContext<'_>) {
+    let domain = &ctx.identity.domain;
+    let homes: BTreeMap<&SliceKey, u64> =
+        ctx.homes.slices_of(domain).map(|(key, it)| (key, it.epoch)).collect();
+    let slices: BTreeSet<SliceKey> = homes
+        .keys()
+        .filter(|it| !state.releases.contains_key(**it))
+        .map(|it| (*it).clone())
+        .collect();
+    let is_balancing = ctx.now.since(state.balanced_at) >= BALANCE_INTERVAL;
+    let is_quiet = state.handovers.is_empty();
+    let input = PlacementInput {
+        map: &state.map,
+        slices: &slices,
+        eligible: &eligible_servers(state, ctx),
+        loads: &state.loads,
+        balance_budget: if is_balancing && is_quiet { BALANCE_BUDGET } else { 0 },
+    };
+    let owners = place_slices(&input);
+    if is_balancing && is_quiet {
+        state.balanced_at = ctx.now;
+    }
+    let stamp = next.stamp;
+    next.entries.retain(|key, _| homes.contains_key(key));
+    for (key, epoch) in homes {
+        let is_leaving = state.releases.contains_key(key);
+        let token = FencingToken { epoch, term: stamp.term, version: stamp.version };
+        match (next.entries.get_mut(key), owners.get(key)) {
+            (Some(entry), owner) if is_leaving || owner.is_some() => {
+                assign(entry, owner.filter(|_| !is_leaving), token);
+            }
+            (Some(_), _) => (),
+            (None, owner) => {
+                let entry = new_entry(owner.filter(|_| !is_leaving).cloned(), token);
+                next.entries.insert(key.clone(), entry);
+            }
+        }
+    }
+}
+
+fn assign(entry: &mut OwnerEntry, owner: Option<&ServerName>, token: FencingToken) {
+    if entry.owner.as_ref() == owner {
+        return;
+    }
+    entry.previous = previous_owners(entry, owner);
+    entry.owner = owner.cloned();
+    entry.token = token;
+    entry.phase = SlicePhase::Moving;
+}
+
+fn new_entry(owner: Option<ServerName>, token: FencingToken) -> OwnerEntry {
+    OwnerEntry { owner, token, previous: SmallVec::new(), phase: SlicePhase::Moving }
+}
+
+/// Servers that may own slices of each keyed service; owners may stay on easier terms.
+fn eligible_servers(
+    state: &ActingState,
+    ctx: &PlannerContext<'_>,
+) -> BTreeMap<ServiceName, Vec<ServerName>> {
+    let Some(doc) = ctx.sheet else {
+        return BTreeMap::new();
+    };
+    let owners: BTreeSet<&ServerName> =
+        state.map.entries.values().filter_map(|it| it.owner.as_ref()).collect();
+    let return_after = ctx.identity.timing.server_return;
+    let is_eligible = |server: &ServerName| {
+        let may_own = match owners.contains(server) {
+            true => state.may_keep(server),
+            false => state.may_receive(server, return_after, ctx.now),
+        };
+        may_own && doc.sheet.server_work(server, ctx.wall) == WorkState::Accepting
+    };
+    let mut eligible = BTreeMap::new();
+    for spec in doc.sheet.services.values() {
+        if let ServiceKind::Keyed { .. } = spec.kind {
+            let servers = doc
+                .sheet
+                .servers_of(&spec.name)
+                .filter(|it| it.domain == ctx.identity.domain && is_eligible(&it.name))
+                .map(|it| it.name.clone())
+                .collect();
+            eligible.insert(spec.name.clone(), servers);
+        }
+    }
+    eligible
+}
+
+/// Gives homes to slices without one, and hands over slices that nobody here uses any more.
+fn write_homes(
+    state: &mut ActingState,
+    ctx: &mut PlannerContext<'_>,
+    actions: &mut Vec<PlannerAction>,
+) {
+    let is_pending = state.homes_written_at.is_some_and(|it| ctx.now.since(it) < HOMES_RETRY);
+    let Some(doc) = ctx.sheet.filter(|_| !is_pending) else {
+        return;
+    };
+    let domain = &ctx.identity.domain;
+    let mut changes = initial_homes(&doc.sheet, ctx.homes, ctx.wall);
+    for key in &state.vacated {
+        let is_home = ctx.homes.entries.get(key).is_some_and(|it| it.domain == *domain);
+        if let Some(target) = state.releases.get(key).filter(|_| is_home) {
+            changes.insert(key.clone(), target.clone());
+        }
+    }
+    if changes.is_empty() {
+        return;
+    }
+    state.homes_written_at = Some(ctx.now);
+    let attempt = ctx.now.as_micros() ^ ctx.identity.id.incarnation.0;
+    actions.push(PlannerAction::WriteHomes(ctx.homes.with_homes(&changes, attempt)));
+}
--- /dev/null
+++ b/crates/ownership/src/planner/record.rs
@@ -0,0 +1,105 @@
+//! What a planner knows of its domain's record in the store.
+
+use std::{sync::Arc, time::Duration};
+
+use model::MonoTime;
+
+use super::{PlannerAction, PlannerEvent, StoredRecord, WriteOutcome};
+use crate::DomainMap;
+
+/// Silence of the store after which it counts as unreachable.
+const STORE_SILENCE: Duration = Duration::from_millis(1_500);
+
+/// Time after which an unanswered read is repeated.
+const READ_RETRY: Duration = Duration::from_millis(500);
+
+/// Shortest time between reads.
+const READ_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The record as last read or written, and exchanges that are under way.
+#[derive(Debug, Default)]
+pub(super) struct RecordView {
+    known: Option<StoredRecord>,
+    answered_at: Option<MonoTime>,
+    read_sent_at: Option<MonoTime>,
+    last_read_at: Option<MonoTime>,
+    is_writing: bool,
+}
+
+impl RecordView {
+    /// The record as last read, if ever.
+    pub(super) fn known(&self) -> Option<&StoredRecord> {
+        self.known.as_ref()
+    }
+
+    /// Whether a write is under way.
+    pub(super) fn is_writing(&self) -> bool {
+        self.is_writing
+    }
+
+    /// Whether the store has answered lately.
+    pub(super) fn is_reachable(&self, now: MonoTime) -> bool {
+        self.answered_at.is_some_and(|it| now.since(it) < STORE_SILENCE)
+    }
+
+    /// Whether a read is under way.
+    pub(super) fn is_reading(&self) -> bool {
+        self.read_sent_at.is_some()
+    }
+
+    /// Reads the record unless a read is under way.
+    pub(super) fn read(&mut self, now: MonoTime, actions: &mut Vec<PlannerAction>) {
+        let is_due = self.read_sent_at.is_none_or(|it| now.since(it) >= READ_RETRY);
+        let is_rested = self.last_read_at.is_none_or(|it| now.since(it) >= READ_INTERVAL);
+        if is_due && is_rested {
+            self.read_sent_at = Some(now);
+            self.last_read_at = Some(now);
+            actions.push(PlannerAction::ReadRecord);
+        }
+    }
+
+    /// Writes `map` over the record as last read. Needs a known record and no write under way.
+    pub(super) fn write(&mut self, map: Arc<DomainMap>, actions: &mut Vec<PlannerAction>) {
+        let expected = match &self.known {
+            Some(record) => record.map.as_ref().map(|_| record.revision),
+            None => return,
+        };
+        self.is_writing = true;
+        actions.push(PlannerAction::WriteRecord { map, expected });
+    }
+
+    /// Takes in the end of a read or write.
+    pub(super) fn observe(
+        &mut self,
+        event: &PlannerEvent,
+        written: Option<&Arc<DomainMap>>,
+        now: MonoTime,
+    ) {
+        match event {
+            PlannerEvent::RecordRead(answer) => {
+                self.read_sent_at = None;
+                if let Some(record) = answer {
+                    self.answered_at = Some(now);
+                    self.known = Some(record.clone());
+                }
+            }
+            PlannerEvent::RecordWritten { outcome, .. } => {
+                self.is_writing = false;
+                match outcome {
+                    WriteOutcome::Written(revision) => {
+                        self.answered_at = Some(now);
+                        let map = written.cloned();
+                        self.known = Some(StoredRecord { map, revision: *revision });
+                    }
+                    WriteOutcome::Conflict => {
+                        self.answered_at = Some(now);
+                        self.known = None;
+                    }
+                    WriteOutcome::Unknown => self.known = None,
+                }
+            }
+            PlannerEvent::HomesWritten(Some(_)) => self.answered_at = Some(now),
+            _ => (),
+        }
+    }
+}
--- /dev/null
+++ b/crates/peer/src/codec.rs
@@ -0,0 +1,56 @@
+//! Whole messages to bytes and back.
+
+use bytes::Bytes;
+use model::StepError;
+use serde::{Serialize, de::DeserializeOwned};
+
+/// Largest message, a little more than the largest request body.
+pub(crate) const MAX_MESSAGE_BYTES: usize = 8 * 1024 * 1024;
+
+pub(crate) fn encode<T: Serialize>(message: &T) -> Result<Bytes, StepError> {
+    bincode::serde::encode_to_vec(message, bincode::config::standard())
+        .map(Bytes::from)
+        .map_err(|err| StepError::new("encode", "peer", err))
+}
+
+pub(crate) fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, StepError> {
+    let config = bincode::config::standard().with_limit::<MAX_MESSAGE_BYTES>();
+    match bincode::serde::decode_from_slice(bytes, config) {
+        Ok((message, n_read)) if n_read == bytes.len() => Ok(message),
+        Ok(_) => Err(StepError::new("decode", "peer", "bytes after the message")),
+        Err(err) => Err(StepError::new("decode", "peer", err)),
+    }
+}
+
+/// Reads a body to its clean end.
+pub(crate) async fn read_body(mut body: h2::RecvStream) -> Result<Vec<u8>, StepError> {
+    let mut bytes = Vec::new();
+    while let Some(chunk) = body.data().await {
+        let chunk = chunk.map_err(|err| StepError::new("read-body", "peer", err))?;
+        if bytes.len() + chunk.len() > MAX_MESSAGE_BYTES {
+            return Err(StepError::new("read-body", "peer", "message too large"));
+        }
+        let _ = body.flow_control().release_capacity(chunk.len());
+        bytes.extend_from_slice(&chunk);
+    }
+    Ok(bytes)
+}
+
+/// Writes `bytes` and ends the stream, as the receiver's window allows.
+pub(crate) async fn write_body(
+    mut stream: h2::SendStream<Bytes>,
+    mut bytes: Bytes,
+) -> Result<(), StepError> {
+    let failed = |err: h2::Error| StepError::new("write-body", "peer", err);
+    while !bytes.is_empty() {
+        stream.reserve_capacity(bytes.len());
+        let granted = std::future::poll_fn(|cx| stream.poll_capacity(cx)).await;
+        let n_bytes = match granted {
+            Some(res) => res.map_err(failed)?.min(bytes.len()),
+            None => return Err(StepError::new("write-body", "peer", "stream closed")),
+        };
+        let chunk = bytes.split_to(n_bytes);
+        stream.send_data(chunk, bytes.is_empty()).map_err(failed)?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,12 @@
+//! Streams between the product's own processes: HTTP/2 carrying bincode.
+
+mod client;
+mod codec;
+mod messages;
+mod server;
+
+pub use client::{ByteCount, PeerBook, PeerClient};
+pub use messages::{
+    ForwardAsk, ForwardReply, PeerReply, PeerRequest, SheetText, WatchAsk, WatchNews,
+};
+pub use server::{PeerService, serve_peers};
--- /dev/null
+++ b/crates/peer/src/messages.rs
@@ -0,0 +1,137 @@
+//! What the processes say to each other.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use model::{CallOutcome, Incarnation, RequestId, ServiceName, SheetRevision, SliceKey, VmName};
+use ownership::{
+    AcceptAnswer, AcceptAsk, DomainMap, HomesTable, LeaseAnswer, LeaseAsk, MapStamp, PrepareAnswer,
+    PrepareAsk,
+};
+use serde::{Deserialize, Serialize};
+
+/// A request from one process to another.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum PeerRequest {
+    /// A planner's heartbeat to a witness.
+    Accept(AcceptAsk),
+    /// A candidate's request to a witness.
+    Prepare(PrepareAsk),
+    /// Asks for the planner's incarnation.
+    Hello,
+    /// A router's request for a lease.
+    Lease(LeaseAsk),
+    /// Waits for news of the sheet, the homes or the map.
+    Watch(WatchAsk),
+    /// Counts of requests for each slice, in requests per second.
+    Loads {
+        /// The router's VM.
+        from: VmName,
+        /// Load of each slice that had any.
+        loads: Vec<(SliceKey, f64)>,
+    },
+    /// A caller's request for a key whose home is the receiver's domain.
+    Forward(ForwardAsk),
+}
+
+/// The answer to a [`PeerRequest`] of the same name.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum PeerReply {
+    /// Answer to a heartbeat.
+    Accept(AcceptAnswer),
+    /// Answer to a candidate.
+    Prepare(PrepareAnswer),
+    /// The planner's incarnation.
+    Hello(Incarnation),
+    /// Answer to a router.
+    Lease(LeaseAnswer),
+    /// News, or none when the wait ran out.
+    Watch(WatchNews),
+    /// What became of a forwarded request.
+    Forward(ForwardReply),
+    /// Taken in.
+    Done,
+    /// The receiver does not serve this request.
+    Unserved,
+}
+
+/// A sheet as text; each process checks it into its own rows.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SheetText {
+    /// Its revision.
+    pub revision: SheetRevision,
+    /// Its text.
+    pub text: Arc<str>,
+}
+
+/// What the asker already holds.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct WatchAsk {
+    /// Revision of its sheet.
+    pub sheet: SheetRevision,
+    /// Revision of its homes.
+    pub homes: u64,
+    /// Its map, unless maps are not of interest.
+    pub map: Option<MapStamp>,
+    /// Open slices in its map.
+    pub n_open: u32,
+    /// Longest wait for news.
+    pub wait: Duration,
+}
+
+/// Whatever is newer than what the asker holds.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct WatchNews {
+    /// Whether the answering planner acts for its domain.
+    pub is_acting: bool,
+    /// A newer sheet.
+    pub sheet: Option<SheetText>,
+    /// Newer homes.
+    pub homes: Option<HomesTable>,
+    /// A newer map.
+    pub map: Option<Arc<DomainMap>>,
+}
+
+/// A caller's request on its way to the home domain.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ForwardAsk {
+    /// Its id.
+    pub id: RequestId,
+    /// The service.
+    pub service: ServiceName,
+    /// The key.
+    pub key: String,
+    /// HTTP method.
+    pub method: String,
+    /// Path and query.
+    pub path: String,
+    /// Headers to pass on.
+    pub headers: Vec<(String, String)>,
+    /// The body.
+    pub body: Bytes,
+    /// Time left until its deadline when it was sent.
+    pub deadline_left: Duration,
+    /// Revision of the homes by which it was forwarded.
+    pub homes: u64,
+}
+
+/// What became of a forwarded request.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum ForwardReply {
+    /// The whole answer.
+    Answered {
+        /// HTTP status.
+        status: u16,
+        /// Headers to pass back.
+        headers: Vec<(String, String)>,
+        /// The body.
+        body: Bytes,
+    },
+    /// No answer, and what is known of it.
+    Failed {
+        /// The outcome.
+        outcome: CallOutcome,
+        /// Homes revision of the receiver.
+        homes: u64,
+    },
+}
--- /dev/null
+++ b/crates/planner/src/main.rs
@@ -0,0 +1,7 @@
+//! The `jackdaw-planner` program.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    planner::main_with(std::env::args_os())
+}
--- /dev/null
+++ b/crates/planner/src/run.rs
@@ -0,0 +1,137 @@
+//! Starting and stopping the planner.
+
+use std::{ffi::OsString, net::SocketAddr, process::ExitCode, sync::Arc, time::Duration};
+
+use backend::HttpBackend;
+use clap::Command;
+use eyre::WrapErr;
+use model::Incarnation;
+use operator::serve_operators;
+use ownership::PlannerEvent;
+use peer::{ByteCount, PeerBook, serve_peers};
+use platform::HttpStore;
+use settings::{ProcessClock, SettingsCommand, daemon_command, read_daemon_arguments, read_file};
+use slog::info;
+use telemetry::{PlannerMetrics, start_log};
+use tokio::{
+    net::TcpListener,
+    runtime::Builder,
+    signal::unix::{SignalKind, signal},
+    sync::watch,
+};
+use xtra::prelude::*;
+
+use crate::{
+    PlannerSettings, RawSettings,
+    control::{Happened, PlannerActor, PlannerState},
+    operator_edge::PlannerSource,
+    peer_edge::PlannerPeerService,
+    publication::Publication,
+    relay::{WatchedDomain, watch_domains, watch_planners, watch_store, watch_vms},
+};
+
+/// Exit status when the settings are not allowed.
+const EXIT_BAD_SETTINGS: u8 = 2;
+
+/// Time between ticks of the planner.
+const TICK: Duration = Duration::from_millis(20);
+
+/// The planner's command line.
+pub fn command() -> Command {
+    daemon_command("jackdaw-planner", "Decides which backend server owns which keys of a domain")
+}
+
+/// Runs the program with these arguments.
+pub fn main_with(arguments: impl IntoIterator<Item = OsString>) -> ExitCode {
+    let matches = command().get_matches_from(arguments);
+    let (file, is_check) = match read_daemon_arguments(&matches) {
+        SettingsCommand::Run(file) => (file, false),
+        SettingsCommand::Check(file) => (file, true),
+    };
+    let settings = match read_file::<RawSettings, PlannerSettings>(&file) {
+        Ok(settings) => settings,
+        Err(err) => {
+            eprintln!("event=bad-setting {err}");
+            return ExitCode::from(EXIT_BAD_SETTINGS);
+        }
+    };
+    if is_check {
+        println!("event=settings-allowed file={:?}", file.display());
+        return ExitCode::SUCCESS;
+    }
+    match run_planner(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("event=planner-failed cause={:?}", format!("{err:#}"));
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Runs a planner until it is told to stop.
+///
+/// # Errors
+/// When a listener cannot be opened.
+pub fn run_planner(settings: PlannerSettings) -> eyre::Result<()> {
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: PlannerSettings) -> eyre::Result<()> {
+    let (log, _guard) =
+        start_log("jackdaw-planner", settings.identity.vm.as_str(), settings.log_level);
+    let peers = bind(settings.peer, "listen-peers").await?;
+    let operators = bind(settings.operator, "listen-operators").await?;
+    let bytes = ByteCount::default();
+    let state = Arc::new(PlannerState {
+        incarnation: Incarnation(rand::random::<u64>() >> 16),
+        clock: ProcessClock::default(),
+        metrics: PlannerMetrics::default(),
+        store: HttpStore::new(settings.store, settings.identity.local)?,
+        backend: HttpBackend::new(settings.identity.local),
+        peers: PeerBook::new(settings.identity.local, bytes.clone()),
+        published: watch::Sender::new(Publication::default()),
+        log: log.clone(),
+        settings,
+    });
+    info!(log, "planner-started"; "peer" => %state.settings.peer,
+          "operator" => %state.settings.operator, "incarnation" => state.incarnation.0);
+    let actor = xtra::spawn_tokio(PlannerActor::new(state.clone()), Mailbox::unbounded());
+    let service = PlannerPeerService { state: state.clone(), actor: actor.clone() };
+    tokio::spawn(serve_peers(peers, service, bytes.clone(), log.clone()));
+    let source = PlannerSource { state: state.clone(), actor: actor.clone() };
+    tokio::spawn(serve_operators(operators, source));
+    tokio::spawn(watch_store(state.clone(), actor.clone()));
+    tokio::spawn(watch_vms(state.clone(), actor.clone()));
+    tokio::spawn(watch_planners(state.clone(), actor.clone(), WatchedDomain::Own));
+    tokio::spawn(watch_domains(state.clone(), actor.clone()));
+    tokio::spawn(tick_loop(state.clone(), actor, bytes));
+    wait_for_stop().await?;
+    info!(log, "planner-stopped");
+    Ok(())
+}
+
+async fn bind(address: SocketAddr, step: &'static str) -> eyre::Result<TcpListener> {
+    TcpListener::bind(address).await.wrap_err_with(|| format!("step={step} peer={address}"))
+}
+
+async fn tick_loop(state: Arc<PlannerState>, actor: Address<PlannerActor>, bytes: ByteCount) {
+    loop {
+        if actor.send(Happened(PlannerEvent::Tick)).await.is_err() {
+            return;
+        }
+        let counted = state.metrics.control_bytes.get();
+        state.metrics.control_bytes.inc_by(bytes.total().saturating_sub(counted));
+        tokio::time::sleep(TICK).await;
+    }
+}
+
+async fn wait_for_stop() -> eyre::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => (),
+        _ = interrupt.recv() => (),
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/platform/src/http_store.rs
@@ -0,0 +1,122 @@
+//! The platform's store over HTTP.
+
+use std::{
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
+
+use model::StepError;
+use reqwest::{Client, Response, StatusCode};
+use serde::{Deserialize, de::DeserializeOwned};
+
+use crate::{PlatformStore, StoreChanges, StoreError, StoreValue, VmListing};
+
+/// Longest wait for a connection to the store.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Longest wait for an answer, beyond a watch's own wait.
+const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Client of the store at one address.
+#[derive(Debug, Clone)]
+pub struct HttpStore {
+    client: Client,
+    address: SocketAddr,
+}
+
+#[derive(Deserialize)]
+struct PutReply {
+    revision: u64,
+}
+
+impl HttpStore {
+    /// A client that calls `address` from `local`.
+    ///
+    /// # Errors
+    /// When the HTTP client cannot be set up.
+    pub fn new(address: SocketAddr, local: IpAddr) -> Result<Self, StepError> {
+        let client = Client::builder()
+            .local_address(local)
+            .connect_timeout(CONNECT_TIMEOUT)
+            .no_proxy()
+            .build()
+            .map_err(|err| StepError::new("store-client", address, err))?;
+        Ok(Self { client, address })
+    }
+
+    fn url(&self, path: &str) -> String {
+        format!("http://{}/v1/{path}", self.address)
+    }
+
+    async fn fetch(&self, url: String, timeout: Duration) -> Result<Response, StoreError> {
+        let res = self.client.get(url).timeout(timeout).send().await;
+        res.map_err(|err| not_done("store-read", self.address, err))
+    }
+}
+
+impl PlatformStore for HttpStore {
+    async fn get(&self, key: &str) -> Result<Option<StoreValue>, StoreError> {
+        let answer = self.fetch(self.url(&format!("kv/{key}")), CALL_TIMEOUT).await?;
+        match answer.status() {
+            StatusCode::NOT_FOUND => Ok(None),
+            _ => read_json(answer, "store-read", self.address).await.map(Some),
+        }
+    }
+
+    async fn put(
+        &self,
+        key: &str,
+        expected: Option<u64>,
+        value: String,
+    ) -> Result<u64, StoreError> {
+        let expected = expected.unwrap_or_default();
+        let url = self.url(&format!("kv/{key}?expect={expected}"));
+        let res = self.client.put(url).timeout(CALL_TIMEOUT).body(value).send().await;
+        let answer = match res {
+            Ok(answer) => answer,
+            Err(err) if err.is_connect() => return Err(not_done("store-write", self.address, err)),
+            Err(err) => return Err(unknown(self.address, err)),
+        };
+        match answer.status() {
+            StatusCode::OK => {
+                let reply = answer.json::<PutReply>().await;
+                reply.map(|it| it.revision).map_err(|err| unknown(self.address, err))
+            }
+            StatusCode::CONFLICT => Err(StoreError::Conflict),
+            status if status.is_client_error() => {
+                Err(not_done("store-write", self.address, status))
+            }
+            status => Err(unknown(self.address, status)),
+        }
+    }
+
+    async fn watch(&self, after: u64, wait: Duration) -> Result<StoreChanges, StoreError> {
+        let url = self.url(&format!("watch?after={after}&wait_ms={}", wait.as_millis()));
+        let answer = self.fetch(url, wait + CALL_TIMEOUT).await?;
+        read_json(answer, "store-watch", self.address).await
+    }
+
+    async fn list_vms(&self) -> Result<Vec<VmListing>, StoreError> {
+        let answer = self.fetch(self.url("vms"), CALL_TIMEOUT).await?;
+        read_json(answer, "list-vms", self.address).await
+    }
+}
+
+async fn read_json<T: DeserializeOwned>(
+    answer: Response,
+    step: &'static str,
+    address: SocketAddr,
+) -> Result<T, StoreError> {
+    match answer.status() {
+        StatusCode::OK => answer.json().await.map_err(|err| not_done(step, address, err)),
+        status => Err(not_done(step, address, status)),
+    }
+}
+
+fn not_done(step: &'static str, address: SocketAddr, cause: impl std::fmt::Display) -> StoreError {
+    StoreError::NotDone(StepError::new(step, address, cause))
+}
+
+fn unknown(address: SocketAddr, cause: impl std::fmt::Display) -> StoreError {
+    StoreError::Unknown(StepError::new("store-write", address, cause))
+}
--- /dev/null
+++ b/crates/policy/src/admission.rs
@@ -0,0 +1,41 @@
+//! Refusing work early that could not be answered in time.
+
+use std::time::Duration;
+
+use model::NotRunReason;
+
+use crate::ServerView;
+
+/// Bounds on work towards one owner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AdmissionLimits {
+    /// Routers that share the server's connections.
+    pub n_routers: u32,
+}
+
+/// Whether a request with `left` until its deadline may be sent to a server now.
+///
+/// # Errors
+/// `Overloaded` when the router's share of connections is in use or the expected wait is longer
+/// than the time left; `DeadlinePassed` when no time is left.
+pub fn admit(
+    view: &ServerView,
+    limits: AdmissionLimits,
+    typical: f64,
+    left: Duration,
+) -> Result<(), NotRunReason> {
+    let share = (view.connections() / limits.n_routers.max(1)).max(view.slots()).max(1);
+    match () {
+        () if left.is_zero() => Err(NotRunReason::DeadlinePassed),
+        () if view.n_open() >= share as usize => Err(NotRunReason::Overloaded),
+        () if queue_seconds(view, typical) > left.as_secs_f64() => Err(NotRunReason::Overloaded),
+        () => Ok(()),
+    }
+}
+
+/// Seconds that the calls ahead will take, judged by this router's own calls.
+fn queue_seconds(view: &ServerView, typical: f64) -> f64 {
+    let latency = view.latency().unwrap_or(typical);
+    let n_ahead = view.n_open() as f64 / f64::from(view.slots().max(1));
+    latency * n_ahead
+}
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,13 @@
+//! Decisions about load: which server, how much, how often again.
+//!
+//! Everything here is pure: time is an argument and randomness comes from a seeded generator.
+
+mod admission;
+mod balancer;
+mod budget;
+mod server_view;
+
+pub use admission::{AdmissionLimits, admit};
+pub use balancer::{BalancerPolicy, Candidate, ServiceBalancer};
+pub use budget::RetryBudget;
+pub use server_view::{CallResult, CallTicket, ServerProfile, ServerView};
--- /dev/null
+++ b/crates/policy/src/server_view.rs
@@ -0,0 +1,162 @@
+//! What one router sees of one server through its own requests.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use model::MonoTime;
+
+/// What the sheet says a server can bear, and how many routers share it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ServerProfile {
+    /// Requests that it runs at once when warm.
+    pub slots: u32,
+    /// Connections that it accepts.
+    pub connections: u32,
+}
+
+/// One open call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallTicket(u64);
+
+/// How a call ended, as far as load is concerned.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallResult {
+    /// A whole answer came.
+    Answered,
+    /// The server refused for lack of capacity.
+    Shed,
+    /// The server could not be reached or broke off.
+    Failed,
+    /// This router gave up waiting.
+    Abandoned,
+}
+
+/// Weight of the newest latency in the average.
+const LATENCY_GAIN: f64 = 0.1;
+
+/// Pause after the first failure in a row.
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+
+/// Longest pause after failures.
+const MAX_PAUSE: Duration = Duration::from_millis(1_600);
+
+/// Age of a server's load report beyond which it says nothing.
+const HINT_LIFETIME: Duration = Duration::from_millis(250);
+
+/// One server as one router sees it.
+#[derive(Debug, Clone)]
+pub struct ServerView {
+    profile: ServerProfile,
+    open: BTreeMap<CallTicket, MonoTime>,
+    next_ticket: u64,
+    latency: Option<f64>,
+    n_failed: u32,
+    paused_until: MonoTime,
+    hint: Option<(u32, MonoTime)>,
+}
+
+impl ServerView {
+    /// A server of which nothing has been seen yet.
+    pub fn new(profile: ServerProfile) -> Self {
+        Self {
+            profile,
+            open: BTreeMap::new(),
+            next_ticket: 0,
+            latency: None,
+            n_failed: 0,
+            paused_until: MonoTime::default(),
+            hint: None,
+        }
+    }
+
+    /// Takes a changed profile from the sheet.
+    pub fn set_profile(&mut self, profile: ServerProfile) {
+        self.profile = profile;
+    }
+
+    /// Notes that a call is sent.
+    pub fn begin(&mut self, now: MonoTime) -> CallTicket {
+        let ticket = CallTicket(self.next_ticket);
+        self.next_ticket += 1;
+        self.open.insert(ticket, now);
+        ticket
+    }
+
+    /// Notes how a call ended, and the server's own count of running and waiting requests.
+    pub fn finish(
+        &mut self,
+        ticket: CallTicket,
+        result: CallResult,
+        hint: Option<u32>,
+        now: MonoTime,
+    ) {
+        let Some(started_at) = self.open.remove(&ticket) else {
+            return;
+        };
+        let age = now.since(started_at).as_secs_f64();
+        match result {
+            CallResult::Answered => {
+                let old = self.latency.unwrap_or(age);
+                self.latency = Some(old + (age - old) * LATENCY_GAIN);
+                self.n_failed = 0;
+                self.paused_until = MonoTime::default();
+            }
+            CallResult::Abandoned => {
+                let old = self.latency.unwrap_or(age);
+                self.latency = Some(old.max(old + (age - old) * LATENCY_GAIN));
+            }
+            CallResult::Shed | CallResult::Failed => {
+                let pause = (FIRST_PAUSE * 2u32.pow(self.n_failed.min(5))).min(MAX_PAUSE);
+                self.n_failed += 1;
+                self.paused_until = now + pause;
+            }
+        }
+        if let Some(hint) = hint {
+            self.hint = Some((hint, now));
+        }
+    }
+
+    /// Calls under way.
+    pub fn n_open(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Age of the oldest call under way.
+    pub fn oldest_age(&self, now: MonoTime) -> Duration {
+        self.open.values().next().map_or(Duration::ZERO, |it| now.since(*it))
+    }
+
+    /// Average seconds to a whole answer.
+    pub fn latency(&self) -> Option<f64> {
+        self.latency
+    }
+
+    /// Whether the server is left alone after failures.
+    pub fn is_paused(&self, now: MonoTime) -> bool {
+        now < self.paused_until
+    }
+
+    /// Slots of the server when warm.
+    pub fn slots(&self) -> u32 {
+        self.profile.slots
+    }
+
+    /// Connections that the server accepts.
+    pub fn connections(&self) -> u32 {
+        self.profile.connections
+    }
+
+    /// Estimated seconds until a call sent now would be answered.
+    ///
+    /// The age of an open call counts as soon as it exceeds the average, so that a straggler
+    /// shows before its calls end. `typical` stands in while nothing has been seen.
+    pub fn expected_wait(&self, typical: f64, now: MonoTime) -> f64 {
+        let latency = self.latency.unwrap_or(typical);
+        let age = self.oldest_age(now).as_secs_f64();
+        let fresh_hint = self.hint.filter(|(_, at)| now.since(*at) < HINT_LIFETIME);
+        let hinted = fresh_hint.map_or(0.0, |(n, _)| f64::from(n) / 2.0);
+        let load = (self.n_open() as f64).max(hinted) + 1.0;
+        let queueing = (load / f64::from(self.profile.slots.max(1))).max(1.0);
+        let overdue = (age - 2.0 * latency.max(typical)).max(0.0);
+        latency * queueing + overdue + latency * load * 0.1
+    }
+}
--- /dev/null
+++ b/crates/router/src/forward.rs
@@ -0,0 +1,127 @@
+//! Requests for keys whose home is another domain, and such requests from there.
+
+use std::{sync::Arc, time::Duration};
+
+use backend::{ServerAnswer, ServerRequest};
+use model::{
+    CallOutcome, DomainName, Idempotency, NotRunReason, ServiceKind, UnknownReason, hash_key,
+};
+use peer::{ForwardAsk, ForwardReply, PeerReply, PeerRequest};
+use sheet::{VmRow, WorkState};
+
+use crate::{keyed, state::RouterState, table::RoutingTable, traffic::RoutedRequest};
+
+/// Longest wait for a stream to another VM before the next VM is tried.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Time kept back for the way home of the answer.
+const RETURN_ALLOWANCE: Duration = Duration::from_millis(5);
+
+/// Sends a request to a router of the key's home domain.
+pub(crate) async fn send_home(
+    state: &Arc<RouterState>,
+    routed: &RoutedRequest,
+    home: &DomainName,
+) -> Result<ServerAnswer, CallOutcome> {
+    let table = state.table();
+    let mut last = CallOutcome::NotRun(NotRunReason::ConnectFailed);
+    for row in home_vms(&table, state, home) {
+        let left = routed.left(state.now());
+        if left.is_zero() {
+            return Err(last);
+        }
+        let client = state.peers.client(row.router, "forward");
+        let opened = tokio::time::timeout(left.min(OPEN_TIMEOUT), client.ready()).await;
+        let Ok(Ok(call)) = opened else { continue };
+        let request = PeerRequest::Forward(forward_ask(routed, &table, left));
+        let outcome = match tokio::time::timeout(left, call.send(&request)).await {
+            Ok(Ok(PeerReply::Forward(ForwardReply::Answered { status, headers, body }))) => {
+                return Ok(ServerAnswer { status, headers, body, load: None });
+            }
+            Ok(Ok(PeerReply::Forward(ForwardReply::Failed { outcome, .. }))) => outcome,
+            Ok(Ok(_)) => CallOutcome::NotRun(NotRunReason::NotHome),
+            Ok(Err(_)) => CallOutcome::Unknown(UnknownReason::ConnectionLost),
+            Err(_) => CallOutcome::Unknown(UnknownReason::DeadlinePassed),
+        };
+        last = outcome;
+        let may_go_on = match outcome {
+            CallOutcome::NotRun(NotRunReason::Leaving | NotRunReason::NoLease) => true,
+            CallOutcome::NotRun(_) => false,
+            CallOutcome::Unknown(_) => routed.idempotency == Idempotency::Idempotent,
+        };
+        if !may_go_on {
+            return Err(outcome);
+        }
+    }
+    Err(last)
+}
+
+/// VMs of the home domain, starting with another one for each router.
+fn home_vms(table: &RoutingTable, state: &RouterState, home: &DomainName) -> Vec<VmRow> {
+    let wall = state.clock.wall();
+    let is_accepting = |it: &&VmRow| table.sheet.vm_work(&it.name, wall) == WorkState::Accepting;
+    let mut rows: Vec<VmRow> = table.sheet.vms_of(home).filter(is_accepting).cloned().collect();
+    if rows.is_empty() {
+        // A domain that is being taken out still serves the slices it has not given away.
+        rows = table.sheet.vms_of(home).cloned().collect();
+    }
+    let n_rows = rows.len().max(1);
+    rows.rotate_left(state.incarnation.0 as usize % n_rows);
+    rows
+}
+
+fn forward_ask(routed: &RoutedRequest, table: &RoutingTable, left: Duration) -> ForwardAsk {
+    let ServerRequest { id, service, method, path, headers, body, .. } = routed.request.clone();
+    ForwardAsk {
+        id,
+        service,
+        key: routed.key.clone(),
+        method,
+        path,
+        headers,
+        body,
+        deadline_left: left.saturating_sub(RETURN_ALLOWANCE),
+        homes: table.homes.revision,
+    }
+}
+
+/// Serves a request that another domain's router forwarded.
+pub(crate) async fn serve_forwarded(state: &Arc<RouterState>, ask: ForwardAsk) -> ForwardReply {
+    let now = state.now();
+    let table = state.table();
+    let failed = |reason| ForwardReply::Failed {
+        outcome: CallOutcome::NotRun(reason),
+        homes: table.homes.revision,
+    };
+    let Some(spec) = table.sheet.services.get(&ask.service) else {
+        return failed(NotRunReason::UnknownService);
+    };
+    let hash = hash_key(&ask.key);
+    let (ServiceKind::Keyed { .. }, Some(base)) = (spec.kind, spec.base_slice(hash)) else {
+        return failed(NotRunReason::BadRequest);
+    };
+    if table.home(&spec.name, base, hash) != Some(&state.settings.identity.domain) {
+        return failed(NotRunReason::NotHome);
+    }
+    let deadline_left = ask.deadline_left.min(spec.deadline);
+    let routed = RoutedRequest {
+        idempotency: spec.idempotency(&ask.method),
+        deadline: now + deadline_left,
+        spec: Arc::new(spec.clone()),
+        key: ask.key,
+        request: ServerRequest {
+            id: ask.id,
+            service: ask.service,
+            method: ask.method,
+            path: ask.path,
+            headers: ask.headers,
+            body: ask.body,
+            slice: None,
+            deadline_left,
+        },
+    };
+    match keyed::serve(state, &routed, base, hash).await {
+        Ok(it) => ForwardReply::Answered { status: it.status, headers: it.headers, body: it.body },
+        Err(outcome) => ForwardReply::Failed { outcome, homes: table.homes.revision },
+    }
+}
--- /dev/null
+++ b/crates/router/src/keyed.rs
@@ -0,0 +1,188 @@
+//! Requests for keys to which the own domain is home.
+
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use backend::{CallFailure, ServerAnswer};
+use model::{CallOutcome, Idempotency, KeyHash, MonoTime, NotRunReason, SliceId, UnknownReason};
+use ownership::OwnerRoute;
+use policy::{AdmissionLimits, ServiceBalancer, admit};
+
+use crate::{
+    attempt::{OpenCall, SendCause, is_over, send},
+    inflight::InflightGuard,
+    state::{RouterState, lock},
+    table::RoutingTable,
+    traffic::{RoutedRequest, progress_timeout},
+};
+
+/// Time after which a request that waits for its owner looks again.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(25);
+
+/// Serves a request by the key's owner, again while that is safe and time is left.
+pub(crate) async fn serve(
+    state: &Arc<RouterState>,
+    routed: &RoutedRequest,
+    base: SliceId,
+    hash: KeyHash,
+) -> Result<ServerAnswer, CallOutcome> {
+    let balancer = state.balancer(&routed.spec.name);
+    let mut cause = SendCause::First;
+    let mut changes = state.changes();
+    let mut last = CallOutcome::NotRun(NotRunReason::NoOwner);
+    loop {
+        let now = state.now();
+        if is_over(routed, now) {
+            return Err(last);
+        }
+        changes.mark_unchanged();
+        let table = state.table();
+        let outcome = match table.view.route(&routed.spec.name, base, hash, now) {
+            Err(NotRunReason::NotHome) => return Err(CallOutcome::NotRun(NotRunReason::NotHome)),
+            Err(reason) => CallOutcome::NotRun(reason),
+            Ok(route) => match serve_at(state, &balancer, &table, routed, &route, cause).await {
+                Ok(answer) => return Ok(answer),
+                Err(outcome) => {
+                    cause = next_cause(cause, outcome);
+                    outcome
+                }
+            },
+        };
+        last = match (last, outcome) {
+            // An earlier send may have run, whatever happened since.
+            (CallOutcome::Unknown(reason), CallOutcome::NotRun(_)) => CallOutcome::Unknown(reason),
+            (_, outcome) => outcome,
+        };
+        if !may_go_on(routed, outcome) {
+            return Err(last);
+        }
+        let pause = routed.left(state.now()).min(RECHECK_INTERVAL);
+        let _ = tokio::time::timeout(pause, changes.changed()).await;
+    }
+}
+
+fn next_cause(cause: SendCause, outcome: CallOutcome) -> SendCause {
+    match outcome {
+        CallOutcome::Unknown(_) => SendCause::Again,
+        CallOutcome::NotRun(NotRunReason::Overloaded) => cause,
+        CallOutcome::NotRun(_) if cause == SendCause::Again => SendCause::Again,
+        CallOutcome::NotRun(_) => SendCause::Replacement,
+    }
+}
+
+/// Whether the request may be sent again after this outcome.
+fn may_go_on(routed: &RoutedRequest, outcome: CallOutcome) -> bool {
+    match outcome {
+        CallOutcome::NotRun(
+            NotRunReason::NoOwner
+            | NotRunReason::NoLease
+            | NotRunReason::Fenced
+            | NotRunReason::ConnectFailed,
+        ) => true,
+        CallOutcome::NotRun(_) => false,
+        CallOutcome::Unknown(UnknownReason::DeadlinePassed) => false,
+        CallOutcome::Unknown(_) => routed.idempotency == Idempotency::Idempotent,
+    }
+}
+
+async fn serve_at(
+    state: &Arc<RouterState>,
+    balancer: &Arc<Mutex<ServiceBalancer>>,
+    table: &RoutingTable,
+    routed: &RoutedRequest,
+    route: &OwnerRoute,
+    cause: SendCause,
+) -> Result<ServerAnswer, CallOutcome> {
+    admit_at(balancer, table, routed, route, state.now()).map_err(CallOutcome::NotRun)?;
+    let no_owner = CallOutcome::NotRun(NotRunReason::NoOwner);
+    let peer = state.server_peer(table, &route.server).ok_or(no_owner)?;
+    let overloaded = CallOutcome::NotRun(NotRunReason::Overloaded);
+    let call = OpenCall::begin(state, balancer, &route.server, cause).ok_or(overloaded)?;
+    state.count_slice(&route.slice);
+    let guard = state.inflight.enter(&route.slice, route.token);
+    let slice = Some((route.slice.slice, route.token));
+    let first = send(call, peer.clone(), routed, slice);
+    tokio::pin!(first);
+    let patience = progress_timeout(lock(balancer).latency(), &state.settings.timing);
+    let early = tokio::time::timeout(patience, &mut first).await;
+    let res = match early {
+        Ok(res) => res,
+        Err(_) => {
+            // The connection may be dead rather than the server slow.
+            state.renew_connections(&peer);
+            let second = match routed.idempotency {
+                Idempotency::Idempotent => {
+                    OpenCall::begin(state, balancer, &route.server, SendCause::Again)
+                }
+                Idempotency::AtMostOnce => None,
+            };
+            match second {
+                Some(call) => first_answer(first, send(call, peer, routed, slice)).await,
+                None => first.await,
+            }
+        }
+    };
+    if let Err(CallFailure { outcome: CallOutcome::Unknown(_), .. }) = res {
+        keep_until_deadline(state, guard, routed.deadline);
+    }
+    res.map_err(|it| it.outcome)
+}
+
+/// Waits for an answer from either of two sends.
+async fn first_answer(
+    first: impl Future<Output = Result<ServerAnswer, CallFailure>>,
+    second: impl Future<Output = Result<ServerAnswer, CallFailure>>,
+) -> Result<ServerAnswer, CallFailure> {
+    tokio::pin!(first, second);
+    tokio::select! {
+        res = &mut first => match res {
+            Ok(answer) => Ok(answer),
+            Err(failure) => second.await.map_err(|it| worse(failure, it)),
+        },
+        res = &mut second => match res {
+            Ok(answer) => Ok(answer),
+            Err(failure) => first.await.map_err(|it| worse(failure, it)),
+        },
+    }
+}
+
+/// Of two failures of one request, the one that leaves open whether it ran.
+fn worse(a: CallFailure, b: CallFailure) -> CallFailure {
+    match a.outcome {
+        CallOutcome::Unknown(_) => a,
+        CallOutcome::NotRun(_) => b,
+    }
+}
+
+fn admit_at(
+    balancer: &Mutex<ServiceBalancer>,
+    table: &RoutingTable,
+    routed: &RoutedRequest,
+    route: &OwnerRoute,
+    now: MonoTime,
+) -> Result<(), NotRunReason> {
+    let n_routers = table
+        .sheet
+        .servers
+        .get(&route.server)
+        .map_or(1, |row| table.sheet.vms_of(&row.domain).count() as u32);
+    let balancer = lock(balancer);
+    let Some(view) = balancer.server(&route.server) else {
+        return Err(NotRunReason::NoOwner);
+    };
+    admit(view, AdmissionLimits { n_routers }, balancer.latency(), routed.left(now))
+}
+
+/// A request that may still run at its server stays counted until its deadline has passed there.
+fn keep_until_deadline(state: &Arc<RouterState>, guard: InflightGuard, deadline: MonoTime) {
+    let margin = state.settings.timing.drift_margin;
+    let left = deadline.since(state.now()) + margin;
+    let state = state.clone();
+    tokio::spawn(async move {
+        tokio::time::sleep(left).await;
+        drop(guard);
+        state.ask_now.notify_one();
+    });
+}
--- /dev/null
+++ b/crates/router/src/run.rs
@@ -0,0 +1,221 @@
+//! Starting and stopping the router.
+
+use std::{
+    ffi::OsString,
+    process::ExitCode,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use caller::{CallerLimits, serve_callers};
+use clap::Command;
+use eyre::WrapErr;
+use model::Incarnation;
+use operator::serve_operators;
+use peer::{ByteCount, PeerBook, PeerReply, PeerRequest, serve_peers};
+use settings::{ProcessClock, SettingsCommand, daemon_command, read_daemon_arguments, read_file};
+use slog::{Logger, info};
+use telemetry::start_log;
+use tokio::{
+    net::TcpListener,
+    runtime::{Builder, Runtime},
+    signal::unix::{SignalKind, signal},
+};
+use xtra::prelude::*;
+
+use crate::{
+    RawSettings, RouterSettings,
+    control::{ControlActor, NewsArrived, Renew, WatchPlan},
+    operator_edge::RouterSource,
+    peer_edge::RouterPeerService,
+    state::RouterState,
+    traffic::TrafficService,
+};
+
+/// Exit status when the settings are not allowed.
+const EXIT_BAD_SETTINGS: u8 = 2;
+
+/// Time that a watch may take beyond its own wait.
+const WATCH_SLACK: Duration = Duration::from_millis(500);
+
+/// Pause after a watch that was not answered.
+const WATCH_PAUSE: Duration = Duration::from_millis(50);
+
+/// Longest time for accepted requests to end after a planned stop.
+const DRAIN_LIMIT: Duration = Duration::from_secs(60);
+
+/// The router's command line.
+pub fn command() -> Command {
+    daemon_command(
+        "jackdaw-router",
+        "Takes callers' requests to the backend servers that own the keys",
+    )
+}
+
+/// Runs the program with these arguments.
+pub fn main_with(arguments: impl IntoIterator<Item = OsString>) -> ExitCode {
+    let matches = command().get_matches_from(arguments);
+    let (file, is_check) = match read_daemon_arguments(&matches) {
+        SettingsCommand::Run(file) => (file, false),
+        SettingsCommand::Check(file) => (file, true),
+    };
+    let settings = match read_file::<RawSettings, RouterSettings>(&file) {
+        Ok(settings) => settings,
+        Err(err) => {
+            eprintln!("event=bad-setting {err}");
+            return ExitCode::from(EXIT_BAD_SETTINGS);
+        }
+    };
+    if is_check {
+        println!("event=settings-allowed file={:?}", file.display());
+        return ExitCode::SUCCESS;
+    }
+    match run_router(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("event=router-failed cause={:?}", format!("{err:#}"));
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Runs a router until it is told to stop and has finished what it accepted.
+///
+/// # Errors
+/// When a listener cannot be opened.
+pub fn run_router(settings: RouterSettings) -> eyre::Result<()> {
+    let (log, _guard) =
+        start_log("jackdaw-router", settings.identity.vm.as_str(), settings.log_level);
+    let control = Builder::new_current_thread().enable_all().build()?;
+    let traffic = Builder::new_multi_thread()
+        .worker_threads(settings.traffic_threads)
+        .thread_name("traffic")
+        .enable_all()
+        .build()?;
+    let bytes = ByteCount::default();
+    let peers = PeerBook::new(settings.identity.local, bytes.clone());
+    let clock = ProcessClock::default();
+    let incarnation = Incarnation(rand::random::<u64>() >> 16);
+    let state = Arc::new(RouterState::new(settings, incarnation, clock, peers, log.clone()));
+    control.block_on(serve(&state, &traffic, bytes, &log))?;
+    info!(log, "router-stopped");
+    traffic.shutdown_timeout(Duration::from_millis(200));
+    Ok(())
+}
+
+async fn serve(
+    state: &Arc<RouterState>,
+    traffic: &Runtime,
+    bytes: ByteCount,
+    log: &Logger,
+) -> eyre::Result<()> {
+    let settings = &state.settings;
+    let callers = bind(settings.caller, "listen-callers").await?;
+    let peers = bind(settings.peer, "listen-peers").await?;
+    let operators = bind(settings.operator, "listen-operators").await?;
+    info!(log, "router-started"; "caller" => %settings.caller, "peer" => %settings.peer,
+          "operator" => %settings.operator, "incarnation" => state.incarnation.0);
+
+    let actor = xtra::spawn_tokio(ControlActor::new(state.clone()), Mailbox::unbounded());
+    tokio::spawn(renew_loop(state.clone(), actor.clone()));
+    tokio::spawn(watch_loop(state.clone(), actor));
+    tokio::spawn(serve_operators(operators, RouterSource { state: state.clone() }));
+    tokio::spawn(count_bytes(state.clone(), bytes.clone()));
+
+    let (stop, stopped) = tokio::sync::oneshot::channel::<()>();
+    let caller_std = callers.into_std()?;
+    let peer_std = peers.into_std()?;
+    let service = TrafficService { state: state.clone() };
+    let limits = CallerLimits { max_body_bytes: settings.max_body_bytes };
+    let caller_task = traffic.spawn(async move {
+        if let Ok(listener) = TcpListener::from_std(caller_std) {
+            let stopped = async {
+                let _ = stopped.await;
+            };
+            serve_callers(listener, service, limits, stopped).await;
+        }
+    });
+    let service = RouterPeerService { state: state.clone() };
+    // Bodies of forwarded requests are traffic, not control.
+    let peer_task = traffic.spawn({
+        let log = log.clone();
+        async move {
+            if let Ok(listener) = TcpListener::from_std(peer_std) {
+                serve_peers(listener, service, ByteCount::default(), log).await;
+            }
+        }
+    });
+
+    wait_for_stop().await?;
+    leave(state, log).await;
+    let _ = stop.send(());
+    let _ = tokio::time::timeout(DRAIN_LIMIT, caller_task).await;
+    peer_task.abort();
+    Ok(())
+}
+
+async fn bind(address: std::net::SocketAddr, step: &'static str) -> eyre::Result<TcpListener> {
+    TcpListener::bind(address).await.wrap_err_with(|| format!("step={step} peer={address}"))
+}
+
+async fn wait_for_stop() -> eyre::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => (),
+        _ = interrupt.recv() => (),
+    }
+    Ok(())
+}
+
+/// Says leaving to the balancer, serves until it has noticed, then finishes accepted requests.
+async fn leave(state: &Arc<RouterState>, log: &Logger) {
+    info!(log, "router-leaving"; "serving" => state.n_serving.load(Ordering::Relaxed));
+    state.is_leaving.store(true, Ordering::Relaxed);
+    tokio::time::sleep(state.settings.leave_grace).await;
+    state.is_closed.store(true, Ordering::Relaxed);
+    let started_at = state.now();
+    while state.n_serving.load(Ordering::Relaxed) + state.inflight.total() > 0
+        && state.now().since(started_at) < DRAIN_LIMIT
+    {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+async fn renew_loop(state: Arc<RouterState>, actor: Address<ControlActor>) {
+    let interval = state.settings.timing.router_renewal;
+    loop {
+        let _ = actor.send(Renew).await;
+        let _ = tokio::time::timeout(interval, state.ask_now.notified()).await;
+    }
+}
+
+async fn watch_loop(state: Arc<RouterState>, actor: Address<ControlActor>) {
+    let mut failed = None;
+    loop {
+        let Ok(Some((target, ask))) = actor.send(WatchPlan { failed }).await else {
+            tokio::time::sleep(WATCH_PAUSE).await;
+            continue;
+        };
+        let client = state.peers.client(target, "watch");
+        let timeout = ask.wait + WATCH_SLACK;
+        match client.call(&PeerRequest::Watch(ask), timeout).await {
+            Ok(PeerReply::Watch(news)) => {
+                failed = (!news.is_acting).then_some(target);
+                let _ = actor.send(NewsArrived { from: target, news }).await;
+            }
+            _ => {
+                failed = Some(target);
+                tokio::time::sleep(WATCH_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn count_bytes(state: Arc<RouterState>, bytes: ByteCount) {
+    loop {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        let counted = state.metrics.control_bytes.get();
+        state.metrics.control_bytes.inc_by(bytes.total().saturating_sub(counted));
+    }
+}
--- /dev/null
+++ b/crates/router/src/settings_file.rs
@@ -0,0 +1,152 @@
+//! The router's settings.
+
+use std::{net::SocketAddr, time::Duration};
+
+use ownership::LeaseTiming;
+use policy::BalancerPolicy;
+use serde::Deserialize;
+use settings::{IdentitySettings, RawLease, RawLog, SettingError, check_addresses, parse_field};
+use slog::Level;
+
+/// Checked settings of a router.
+#[derive(Debug, Clone)]
+pub struct RouterSettings {
+    /// Who the router is.
+    pub identity: IdentitySettings,
+    /// Where callers are served.
+    pub caller: SocketAddr,
+    /// Where other VMs are served.
+    pub peer: SocketAddr,
+    /// Where operators are served.
+    pub operator: SocketAddr,
+    /// Planners to ask while no sheet is known.
+    pub planners: Vec<SocketAddr>,
+    /// Largest request body, in bytes.
+    pub max_body_bytes: usize,
+    /// Most requests served at once.
+    pub max_in_flight: usize,
+    /// Threads that serve traffic.
+    pub traffic_threads: usize,
+    /// Time for which a leaving router still takes callers that the balancer sends.
+    pub leave_grace: Duration,
+    /// How servers of shared services are chosen.
+    pub policy: BalancerPolicy,
+    /// Lease and heartbeat lengths.
+    pub timing: LeaseTiming,
+    /// Level below which nothing is logged.
+    pub log_level: Level,
+}
+
+/// The settings file as it is written.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawSettings {
+    vm: String,
+    domain: String,
+    local: String,
+    planners: Vec<String>,
+    listen: RawListen,
+    #[serde(default)]
+    limits: RawLimits,
+    #[serde(default)]
+    policy: RawPolicy,
+    #[serde(default)]
+    lease: RawLease,
+    #[serde(default)]
+    log: RawLog,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawListen {
+    caller: String,
+    peer: String,
+    operator: String,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct RawLimits {
+    max_body_kib: usize,
+    max_in_flight: usize,
+    traffic_threads: usize,
+    leave_grace_ms: u64,
+}
+
+impl Default for RawLimits {
+    fn default() -> Self {
+        Self {
+            max_body_kib: 1_024,
+            max_in_flight: 4_096,
+            traffic_threads: 2,
+            leave_grace_ms: 1_500,
+        }
+    }
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct RawPolicy {
+    balancer: String,
+}
+
+impl Default for RawPolicy {
+    fn default() -> Self {
+        Self { balancer: BalancerPolicy::Adaptive.to_string() }
+    }
+}
+
+const ADDRESS: &str = "IP:PORT";
+
+impl TryFrom<RawSettings> for RouterSettings {
+    type Error = SettingError;
+
+    fn try_from(raw: RawSettings) -> Result<Self, SettingError> {
+        let identity = IdentitySettings::check(&raw.vm, &raw.domain, &raw.local)?;
+        let caller = parse_field("listen.caller", &raw.listen.caller, ADDRESS)?;
+        let peer = parse_field("listen.peer", &raw.listen.peer, ADDRESS)?;
+        let operator = parse_field("listen.operator", &raw.listen.operator, ADDRESS)?;
+        check_addresses(&[
+            ("listen.caller", caller),
+            ("listen.peer", peer),
+            ("listen.operator", operator),
+        ])?;
+        let mut planners = Vec::new();
+        for (idx, text) in raw.planners.iter().enumerate() {
+            planners.push(parse_field(&format!("planners[{idx}]"), text, ADDRESS)?);
+        }
+        if planners.is_empty() {
+            return Err(SettingError::new("planners", "[]", "at least one planner's address"));
+        }
+        let limits = raw.limits;
+        check_limit("limits.max_body_kib", limits.max_body_kib, 1, 4_096)?;
+        check_limit("limits.max_in_flight", limits.max_in_flight, 1, 1_000_000)?;
+        check_limit("limits.traffic_threads", limits.traffic_threads, 1, 64)?;
+        check_limit("limits.leave_grace_ms", limits.leave_grace_ms as usize, 0, 60_000)?;
+        Ok(Self {
+            identity,
+            caller,
+            peer,
+            operator,
+            planners,
+            max_body_bytes: limits.max_body_kib * 1_024,
+            max_in_flight: limits.max_in_flight,
+            traffic_threads: limits.traffic_threads,
+            leave_grace: Duration::from_millis(limits.leave_grace_ms),
+            policy: parse_field(
+                "policy.balancer",
+                &raw.policy.balancer,
+                "adaptive, round-robin, random, least-in-flight or power-of-two",
+            )?,
+            timing: raw.lease.try_into()?,
+            log_level: raw.log.check()?,
+        })
+    }
+}
+
+fn check_limit(field: &str, value: usize, low: usize, high: usize) -> Result<(), SettingError> {
+    match (low..=high).contains(&value) {
+        true => Ok(()),
+        false => Err(SettingError::new(field, value, format!("{low} to {high}"))),
+    }
+}
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,13 @@
+//! Settings files and what the programs' command lines share.
+
+mod clock;
+mod command;
+mod error;
+mod lease;
+mod shared;
+
+pub use clock::ProcessClock;
+pub use command::{SettingsCommand, daemon_command, read_daemon_arguments};
+pub use error::SettingError;
+pub use lease::RawLease;
+pub use shared::{IdentitySettings, RawLog, check_addresses, parse_field, read_file};
--- /dev/null
+++ b/crates/trial/src/main.rs
@@ -0,0 +1,135 @@
+//! The `jackdaw-trial` program: real routers and planners against small stand-ins of the platform
+//! and the backend servers, under load and faults.
+
+mod backend_server;
+mod deployment;
+mod faults;
+mod gate;
+mod judge;
+mod load;
+mod nodes;
+mod report;
+mod run;
+mod scenario;
+mod store_server;
+
+use std::{ffi::OsString, path::PathBuf, process::ExitCode};
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+
+use crate::{report::TrialReport, scenario::Scenario};
+
+/// Exit status when a scenario is not allowed.
+const EXIT_BAD_SCENARIO: u8 = 2;
+
+/// Scenarios that run when none is named.
+const SHIPPED: [(&str, &str); 2] = [
+    ("schetsbord", include_str!("../../../examples/schetsbord.toml")),
+    ("carretillas", include_str!("../../../examples/carretillas.toml")),
+];
+
+fn main() -> ExitCode {
+    let mut arguments: Vec<OsString> = std::env::args_os().collect();
+    // The trial starts its routers and planners as processes of this same program.
+    match arguments.get(1).and_then(|it| it.to_str()) {
+        Some("node-router") => {
+            arguments.remove(1);
+            return router::main_with(arguments);
+        }
+        Some("node-planner") => {
+            arguments.remove(1);
+            return planner::main_with(arguments);
+        }
+        _ => (),
+    }
+    let matches = command().get_matches_from(arguments);
+    match run_command(&matches) {
+        Ok(code) => code,
+        Err(err) => {
+            eprintln!("event=trial-failed cause={:?}", format!("{err:#}"));
+            ExitCode::from(EXIT_BAD_SCENARIO)
+        }
+    }
+}
+
+fn command() -> Command {
+    let seed = Arg::new("seed")
+        .long("seed")
+        .value_name("N")
+        .default_value("1")
+        .value_parser(value_parser!(u64))
+        .global(true)
+        .help("Seed of the load and the servers");
+    let json = Arg::new("json")
+        .long("json")
+        .action(ArgAction::SetTrue)
+        .global(true)
+        .help("Print one JSON object as the last line");
+    Command::new("jackdaw-trial")
+        .about("Runs routers and planners against stand-ins, under load and faults")
+        .version(clap::crate_version!())
+        .arg(seed)
+        .arg(json)
+        .arg(
+            Arg::new("config")
+                .long("config")
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .help("A scenario to run, as with `run`"),
+        )
+        .arg(
+            Arg::new("check-config")
+                .long("check-config")
+                .action(ArgAction::SetTrue)
+                .help("Check the scenario of --config and exit"),
+        )
+        .subcommand(
+            Command::new("run").about("Runs one scenario").arg(
+                Arg::new("scenario")
+                    .value_name("SCENARIO.toml")
+                    .required(true)
+                    .value_parser(value_parser!(PathBuf)),
+            ),
+        )
+}
+
+fn run_command(matches: &ArgMatches) -> eyre::Result<ExitCode> {
+    let file = match matches.subcommand() {
+        Some(("run", it)) => it.get_one::<PathBuf>("scenario"),
+        _ => matches.get_one::<PathBuf>("config"),
+    };
+    let scenarios = match file {
+        Some(file) => vec![scenario::read(file)?],
+        None => {
+            let shipped = SHIPPED.iter().map(|(name, text)| scenario::parse(name, text));
+            shipped.collect::<eyre::Result<Vec<Scenario>>>()?
+        }
+    };
+    if matches.get_flag("check-config") {
+        println!("event=scenarios-allowed count={}", scenarios.len());
+        return Ok(ExitCode::SUCCESS);
+    }
+    let seed = flag_seed(matches);
+    let is_json = has_json(matches);
+    let mut reports = Vec::new();
+    for scenario in scenarios {
+        reports.push(run::run_scenario(scenario, seed)?);
+    }
+    report::print_table(&reports);
+    if is_json {
+        for report in &reports {
+            println!("{}", serde_json::to_string(report)?);
+        }
+    }
+    let is_kept = reports.iter().all(TrialReport::keeps_promises);
+    Ok(if is_kept { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+fn flag_seed(matches: &ArgMatches) -> u64 {
+    let deeper = matches.subcommand().and_then(|(_, it)| it.get_one::<u64>("seed"));
+    deeper.or_else(|| matches.get_one::<u64>("seed")).copied().unwrap_or(1)
+}
+
+fn has_json(matches: &ArgMatches) -> bool {
+    matches.get_flag("json") || matches.subcommand().is_some_and(|(_, it)| it.get_flag("json"))
+}
