ownership: return the sending time with each answer, enlist servers before hand-over

Cause: the runtime stamped answers with a clock reading of its own, so that no answer matched its heartbeat and the next one waited out its timeout: 300 ms between heartbeats against 300 ms of tolerated silence, and planners deposed each other each second. A grant to a server that was not yet enlisted was dropped, and its slice never opened. Change: actions carry the time that the answer must return; a hand-over waits for enlistment.

--- a/crates/ownership/src/planner.rs
+++ b/crates/ownership/src/planner.rs
@@ -139,7 +139,12 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum PlannerAction {
     /// Send a heartbeat.
-    Accept(AcceptAsk),
+    Accept {
+        /// The heartbeat.
+        ask: AcceptAsk,
+        /// To be returned with the answer.
+        asked_at: MonoTime,
+    },
     /// Ask for a promise.
     Prepare(PrepareAsk),
     /// Ask a VM's planner for its incarnation.
@@ -163,6 +168,8 @@
         address: SocketAddr,
         /// The order.
         order: GrantOrder,
+        /// To be returned with the answer.
+        sent_at: MonoTime,
     },
     /// Ask a server that does not check tokens whether it lives.
     Probe {
@@ -170,6 +177,8 @@
         server: ServerName,
         /// Its address.
         address: SocketAddr,
+        /// To be returned with the answer.
+        sent_at: MonoTime,
     },
     /// Routers may learn this map.
     Publish(Arc<DomainMap>),
--- a/crates/ownership/src/planner/acting.rs
+++ b/crates/ownership/src/planner/acting.rs
@@ -207,6 +207,7 @@
     let is_tick = matches!(event, PlannerEvent::Tick);
     if is_tick {
         greet(ctx, actions);
+        grants::enlist_servers(state, ctx);
         poll_record(state, ctx, actions);
     }
     heartbeat(state, ctx, actions);
@@ -281,7 +282,7 @@
             continue;
         }
         entry.sent_at = Some(ctx.now);
-        actions.push(PlannerAction::Accept(ask));
+        actions.push(PlannerAction::Accept { ask, asked_at: ctx.now });
     }
 }
 
--- a/crates/ownership/src/planner/grants.rs
+++ b/crates/ownership/src/planner/grants.rs
@@ -118,14 +118,22 @@
         matches!(self.server_state(server), ServerState::Alive | ServerState::Unknown)
     }
 
-    pub(super) fn grant(&mut self, server: &ServerName, key: &SliceKey, token: FencingToken) {
-        if let Some(entry) = self.servers.get_mut(server)
-            && entry.granted.insert(key.clone(), token) != Some(token)
-        {
+    /// Adds a slice to the server's grants. Returns false for a server that is not enlisted.
+    pub(super) fn grant(
+        &mut self,
+        server: &ServerName,
+        key: &SliceKey,
+        token: FencingToken,
+    ) -> bool {
+        let Some(entry) = self.servers.get_mut(server) else {
+            return false;
+        };
+        if entry.granted.insert(key.clone(), token) != Some(token) {
             entry.change_set();
             entry.revoked.remove(key);
             entry.added.insert(key.clone(), entry.set_version);
         }
+        true
     }
 
     pub(super) fn revoke(&mut self, server: &ServerName, key: &SliceKey) {
@@ -218,7 +226,6 @@
     ctx: &PlannerContext<'_>,
     actions: &mut Vec<PlannerAction>,
 ) {
-    enlist_servers(state, ctx);
     notice_silence(state, ctx);
     let timing = &ctx.identity.timing;
     let authority_end = state.authority_end(timing) - timing.drift_margin;
@@ -229,13 +236,14 @@
         let Some(address) = address.filter(|_| !is_waiting && ctx.now >= entry.due_at) else {
             continue;
         };
-        entry.sent_at = Some(ctx.now);
+        let sent_at = ctx.now;
+        entry.sent_at = Some(sent_at);
         entry.due_at = ctx.now + timing.grant_renewal;
         actions.push(match entry.check {
-            OwnerCheck::None => PlannerAction::Probe { server: server.clone(), address },
+            OwnerCheck::None => PlannerAction::Probe { server: server.clone(), address, sent_at },
             OwnerCheck::Token => {
                 let order = next_order(entry, term, timing.grant_lease, authority_end);
-                PlannerAction::Grant { server: server.clone(), address, order }
+                PlannerAction::Grant { server: server.clone(), address, order, sent_at }
             }
         });
     }
@@ -261,7 +269,7 @@
 }
 
 /// Adds servers of the domain's keyed services, with the grants that they already hold.
-fn enlist_servers(state: &mut ActingState, ctx: &PlannerContext<'_>) {
+pub(super) fn enlist_servers(state: &mut ActingState, ctx: &PlannerContext<'_>) {
     let Some(doc) = ctx.sheet else { return };
     for row in doc.sheet.servers.values().filter(|it| it.domain == ctx.identity.domain) {
         let Some(spec) = doc.sheet.services.get(&row.service) else { continue };
--- a/crates/ownership/src/planner/handover.rs
+++ b/crates/ownership/src/planner/handover.rs
@@ -139,10 +139,10 @@
         }
         HandoverStep::Revoke(it) if are_previous_vacated(slice, state, ctx) => {
             match &slice.entry.owner {
-                Some(owner) => {
-                    state.grant(owner, slice.key, slice.entry.token);
+                Some(owner) if state.grant(owner, slice.key, slice.entry.token) => {
                     take_steps(HandoverStep::Grant(it.vacated()), slice, state, ctx)
                 }
+                Some(_) => HandoverStep::Revoke(it),
                 None => {
                     state.vacated.insert(slice.key.clone());
                     HandoverStep::Done
--- a/crates/planner/src/execute.rs
+++ b/crates/planner/src/execute.rs
@@ -28,10 +28,9 @@
     let address = |vm: &VmName| -> Option<SocketAddr> {
         sheet.and_then(|it| it.sheet.vms.get(vm)).map(|it| it.planner)
     };
-    let now = state.clock.now();
     let (state, actor) = (state.clone(), actor.clone());
     match action {
-        PlannerAction::Accept(ask) => {
+        PlannerAction::Accept { ask, asked_at } => {
             let target = address(&ask.witness.name);
             tokio::spawn(async move {
                 let (from, stamp) = (ask.witness.clone(), ask.stamp);
@@ -39,8 +38,7 @@
                     Some(PeerReply::Accept(answer)) => Some(answer),
                     _ => None,
                 };
-                feed(&actor, PlannerEvent::AcceptAnswered { from, asked_at: now, stamp, answer })
-                    .await;
+                feed(&actor, PlannerEvent::AcceptAnswered { from, asked_at, stamp, answer }).await;
             });
         }
         PlannerAction::Prepare(ask) => {
@@ -83,18 +81,18 @@
                 feed(&actor, PlannerEvent::HomesWritten(held)).await;
             });
         }
-        PlannerAction::Grant { server, address, order } => {
+        PlannerAction::Grant { server, address, order, sent_at } => {
             tokio::spawn(async move {
                 let peer = ServerPeer { name: server.clone(), address };
                 let answer = state.backend.grant(&peer, order).await;
-                feed(&actor, PlannerEvent::ServerAnswered { server, sent_at: now, answer }).await;
+                feed(&actor, PlannerEvent::ServerAnswered { server, sent_at, answer }).await;
             });
         }
-        PlannerAction::Probe { server, address } => {
+        PlannerAction::Probe { server, address, sent_at } => {
             tokio::spawn(async move {
                 let peer = ServerPeer { name: server.clone(), address };
                 let answer = state.backend.probe(&peer).await;
-                feed(&actor, PlannerEvent::ServerAnswered { server, sent_at: now, answer }).await;
+                feed(&actor, PlannerEvent::ServerAnswered { server, sent_at, answer }).await;
             });
         }
         // These two need the actor itself.
