router: give up a late idempotent request once its slice is open elsewhere

Cause: a request that waited at a frozen owner waited until its deadline although the slice was open at another server 640 ms after the freeze. The trial also counted the whole wait of unanswered callers as unavailable time of the key; the trace shows the key served again from 5,524 ms on while callers of 4,882 ms waited until 5,884 ms. Change: a late idempotent request is sent again when its slice opens under another assignment; the trial's unavailable time runs from the first unanswered arrival to the next answer.

--- a/crates/router/src/keyed.rs
+++ b/crates/router/src/keyed.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use backend::{CallFailure, ServerAnswer};
+use backend::{CallFailure, ServerAnswer, ServerPeer};
 use model::{CallOutcome, Idempotency, KeyHash, MonoTime, NotRunReason, SliceId, UnknownReason};
 use ownership::OwnerRoute;
 use policy::{AdmissionLimits, ServiceBalancer, admit};
@@ -29,6 +29,7 @@
     hash: KeyHash,
 ) -> Result<ServerAnswer, CallOutcome> {
     let balancer = state.balancer(&routed.spec.name);
+    let run = KeyedRun { state, routed, base, hash, balancer: &balancer };
     let mut cause = SendCause::First;
     let mut changes = state.changes();
     let mut last = CallOutcome::NotRun(NotRunReason::NoOwner);
@@ -39,10 +40,10 @@
         }
         changes.mark_unchanged();
         let table = state.table();
-        let outcome = match table.view.route(&routed.spec.name, base, hash, now) {
+        let outcome = match run.find_owner(&table, now) {
             Err(NotRunReason::NotHome) => return Err(CallOutcome::NotRun(NotRunReason::NotHome)),
             Err(reason) => CallOutcome::NotRun(reason),
-            Ok(route) => match serve_at(state, &balancer, &table, routed, &route, cause).await {
+            Ok(route) => match run.serve_at(&table, &route, cause).await {
                 Ok(answer) => return Ok(answer),
                 Err(outcome) => {
                     cause = next_cause(cause, outcome);
@@ -87,47 +88,95 @@
     }
 }
 
-async fn serve_at(
-    state: &Arc<RouterState>,
-    balancer: &Arc<Mutex<ServiceBalancer>>,
-    table: &RoutingTable,
-    routed: &RoutedRequest,
-    route: &OwnerRoute,
-    cause: SendCause,
-) -> Result<ServerAnswer, CallOutcome> {
-    admit_at(balancer, table, routed, route, state.now()).map_err(CallOutcome::NotRun)?;
-    let no_owner = CallOutcome::NotRun(NotRunReason::NoOwner);
-    let peer = state.server_peer(table, &route.server).ok_or(no_owner)?;
-    let overloaded = CallOutcome::NotRun(NotRunReason::Overloaded);
-    let call = OpenCall::begin(state, balancer, &route.server, cause).ok_or(overloaded)?;
-    state.count_slice(&route.slice);
-    let guard = state.inflight.enter(&route.slice, route.token);
-    let slice = Some((route.slice.slice, route.token));
-    let first = send(call, peer.clone(), routed, slice);
-    tokio::pin!(first);
-    let patience = progress_timeout(lock(balancer).latency(), &state.settings.timing);
-    let early = tokio::time::timeout(patience, &mut first).await;
-    let res = match early {
-        Ok(res) => res,
-        Err(_) => {
-            // The connection may be dead rather than the server slow.
-            state.renew_connections(&peer);
-            let second = match routed.idempotency {
-                Idempotency::Idempotent => {
-                    OpenCall::begin(state, balancer, &route.server, SendCause::Again)
-                }
-                Idempotency::AtMostOnce => None,
-            };
+/// One request for a key and what it needs to find and reach the owner.
+struct KeyedRun<'a> {
+    state: &'a Arc<RouterState>,
+    routed: &'a RoutedRequest,
+    base: SliceId,
+    hash: KeyHash,
+    balancer: &'a Arc<Mutex<ServiceBalancer>>,
+}
+
+impl KeyedRun<'_> {
+    fn find_owner(&self, table: &RoutingTable, now: MonoTime) -> Result<OwnerRoute, NotRunReason> {
+        table.view.route(&self.routed.spec.name, self.base, self.hash, now)
+    }
+
+    /// Sends the request to the owner that `route` names.
+    async fn serve_at(
+        &self,
+        table: &RoutingTable,
+        route: &OwnerRoute,
+        cause: SendCause,
+    ) -> Result<ServerAnswer, CallOutcome> {
+        let Self { state, routed, balancer, .. } = *self;
+        admit_at(balancer, table, routed, route, state.now()).map_err(CallOutcome::NotRun)?;
+        let no_owner = CallOutcome::NotRun(NotRunReason::NoOwner);
+        let peer = state.server_peer(table, &route.server).ok_or(no_owner)?;
+        let overloaded = CallOutcome::NotRun(NotRunReason::Overloaded);
+        let call = OpenCall::begin(state, balancer, &route.server, cause).ok_or(overloaded)?;
+        state.count_slice(&route.slice);
+        let guard = state.inflight.enter(&route.slice, route.token);
+        let slice = Some((route.slice.slice, route.token));
+        let first = send(call, peer.clone(), routed, slice);
+        tokio::pin!(first);
+        let patience = progress_timeout(lock(balancer).latency(), &state.settings.timing);
+        let res = match tokio::time::timeout(patience, &mut first).await {
+            Ok(res) => res,
+            Err(_) => {
+                // The connection may be dead rather than the server slow.
+                state.renew_connections(&peer);
+                self.await_late(first, peer, route).await
+            }
+        };
+        if let Err(CallFailure { outcome: CallOutcome::Unknown(_), .. }) = res {
+            keep_until_deadline(state, guard, routed.deadline);
+        }
+        res.map_err(|it| it.outcome)
+    }
+
+    /// Waits for an answer that is late. A request that may run twice is also sent on a fresh
+    /// connection, and is given up here as soon as the slice is open at another owner.
+    async fn await_late(
+        &self,
+        first: impl Future<Output = Result<ServerAnswer, CallFailure>>,
+        peer: ServerPeer,
+        route: &OwnerRoute,
+    ) -> Result<ServerAnswer, CallFailure> {
+        if self.routed.idempotency == Idempotency::AtMostOnce {
+            return first.await;
+        }
+        let slice = Some((route.slice.slice, route.token));
+        let second = OpenCall::begin(self.state, self.balancer, &route.server, SendCause::Again);
+        let answer = async {
             match second {
-                Some(call) => first_answer(first, send(call, peer, routed, slice)).await,
+                Some(call) => first_answer(first, send(call, peer, self.routed, slice)).await,
                 None => first.await,
             }
+        };
+        tokio::select! {
+            res = answer => res,
+            () = self.await_move(route) => Err(CallFailure {
+                outcome: CallOutcome::Unknown(UnknownReason::ConnectionLost),
+                is_refused: false,
+                load: None,
+            }),
+        }
+    }
+
+    /// Waits until the slice is open under another assignment than `route`.
+    async fn await_move(&self, route: &OwnerRoute) {
+        let mut changes = self.state.changes();
+        loop {
+            let found = self.find_owner(&self.state.table(), self.state.now());
+            if found.is_ok_and(|it| it.token != route.token) {
+                return;
+            }
+            if changes.changed().await.is_err() {
+                return std::future::pending().await;
+            }
         }
-    };
-    if let Err(CallFailure { outcome: CallOutcome::Unknown(_), .. }) = res {
-        keep_until_deadline(state, guard, routed.deadline);
     }
-    res.map_err(|it| it.outcome)
 }
 
 /// Waits for an answer from either of two sends.
--- a/crates/trial/src/judge.rs
+++ b/crates/trial/src/judge.rs
@@ -199,22 +199,36 @@
         let hash: KeyHash = hash_key(&it.key);
         by_slice.entry((it.service, SliceId::covering(hash, SLICE_BITS))).or_default().push(it);
     }
-    let gaps = by_slice.values_mut().map(|records| {
+    let gaps = by_slice.iter_mut().map(|((service, slice), records)| {
         records.sort_by_key(|it| it.arrived);
-        longest_gap(records)
+        let (length, begin) = longest_gap(records);
+        (length, begin, *service, *slice)
     });
-    gaps.max().unwrap_or_default().as_millis() as u64
+    let Some((length, begin, service, slice)) = gaps.max() else { return 0 };
+    eprintln!(
+        "judge: longest unavailable: service {service} slice {slice} from {} ms for {} ms",
+        begin.as_millis(),
+        length.as_millis()
+    );
+    length.as_millis() as u64
 }
 
-fn longest_gap(records: &[&CallerRecord]) -> Duration {
-    let mut longest = Duration::ZERO;
+/// The longest time without an answer, and when it began.
+///
+/// It runs from the arrival of the first request that got no answer to the end of the next one
+/// that did. How long the callers of unanswered requests went on waiting does not lengthen it.
+fn longest_gap(records: &[&CallerRecord]) -> (Duration, Duration) {
+    let mut longest = (Duration::ZERO, Duration::ZERO);
     let mut failed_since = None;
     for it in records {
         let begin = *failed_since.get_or_insert(it.arrived);
-        longest = longest.max(it.ended.saturating_sub(begin));
         if it.outcome == CallerOutcome::Answered {
+            longest = longest.max((it.ended.saturating_sub(begin), begin));
             failed_since = None;
         }
     }
+    if let (Some(begin), Some(last)) = (failed_since, records.last()) {
+        longest = longest.max((last.ended.saturating_sub(begin), begin));
+    }
     longest
 }
