--- a/crates/ownership/src/placement.rs
+++ b/crates/ownership/src/placement.rs
@@ -9,6 +9,12 @@
 /// Recent load of a slice, in requests per second.
 pub type SliceLoad = BTreeMap<SliceKey, f64>;
 
+/// Time over which loads are averaged, in seconds.
+pub(crate) const LOAD_WINDOW_SECONDS: f64 = 5.0;
+
+/// Standard deviations of a Poisson count by which two loads must differ.
+const NOISE_DEVIATIONS: f64 = 3.0;
+
 /// What placement decides on.
 pub struct PlacementInput<'a> {
     /// The map in force.
@@ -65,6 +71,11 @@
     IDLE_WEIGHT + input.loads.get(key).copied().unwrap_or_default()
 }
 
+/// Whether the difference of two loads is more than chance would make of equal ones.
+fn pays_beyond_noise(high: f64, low: f64) -> bool {
+    high - low > NOISE_DEVIATIONS * (high / LOAD_WINDOW_SECONDS).sqrt()
+}
+
 /// Slices of one service, by owner.
 struct ServicePlacement<'a> {
     held: BTreeMap<&'a ServerName, Vec<(SliceKey, f64)>>,
@@ -115,7 +126,10 @@
             .min_by(|(_, a), (_, b)| worst_after(a.1).total_cmp(&worst_after(b.1)))
             .map(|(idx, it)| (idx, it.1));
         match best {
-            Some((idx, weight)) if worst_after(weight) < high * (1.0 - MIN_GAIN) => {
+            Some((idx, weight))
+                if worst_after(weight) < high * (1.0 - MIN_GAIN)
+                    && pays_beyond_noise(high, low) =>
+            {
                 let Some(held) = self.held.get_mut(from) else { return false };
                 let (key, weight) = held.swap_remove(idx);
                 *self.loads.entry(from).or_default() -= weight;
--- a/crates/ownership/src/planner/acting.rs
+++ b/crates/ownership/src/planner/acting.rs
@@ -15,7 +15,7 @@
     following::FollowingState,
     grants::{self, ServerEntry},
     handover::{self, Handover},
-    leases::RouterEntry,
+    leases::{self, RouterEntry},
     proposal::{self, Proposal},
 };
 use crate::{AcceptAnswer, AcceptAsk, DomainMap, LeaseTiming, MapStamp, VmId, map::quorum_size};
@@ -196,7 +196,7 @@
             grants::take_answer(state, server, *sent_at, answer, ctx)
         }
         PlannerEvent::LoadsReported(loads) => {
-            state.loads = loads.clone();
+            proposal::take_loads(state, loads);
             None
         }
         _ => None,
@@ -208,6 +208,7 @@
     if is_tick {
         greet(ctx, actions);
         grants::enlist_servers(state, ctx);
+        leases::forget_routers(state, ctx.now);
         poll_record(state, ctx, actions);
     }
     heartbeat(state, ctx, actions);
--- a/crates/ownership/src/planner/handover.rs
+++ b/crates/ownership/src/planner/handover.rs
@@ -201,10 +201,13 @@
     state: &ActingState,
     ctx: &PlannerContext<'_>,
 ) -> bool {
-    let after = ctx.identity.timing.drift_margin + slice.rules.deadline;
+    // What a router without a lease sent to a server that checks tokens ends with the grant.
+    let after = match slice.rules.check {
+        OwnerCheck::Token => ctx.identity.timing.drift_margin,
+        OwnerCheck::None => ctx.identity.timing.drift_margin + slice.rules.deadline,
+    };
     let had_predecessor = state.predecessor_until > state.started_at();
-    let is_predecessors_work_over =
-        !had_predecessor || ctx.now >= state.predecessor_until + slice.rules.deadline;
+    let is_predecessors_work_over = !had_predecessor || ctx.now >= state.predecessor_until + after;
     let mut routers = state.routers.values();
     is_predecessors_work_over
         && routers.all(|it| it.has_drained(required) || it.is_lapsed(after, ctx.now))
--- a/crates/ownership/src/planner/leases.rs
+++ b/crates/ownership/src/planner/leases.rs
@@ -13,8 +13,12 @@
     held: MapStamp,
     drained: MapVersion,
     lease_until: MonoTime,
+    asked_at: MonoTime,
 }
 
+/// Time after which a router that asks no more is forgotten; longer than any deadline.
+const FORGET_AFTER: Duration = Duration::from_secs(90);
+
 impl RouterEntry {
     /// Whether the router obeys a map at least as new as `stamp`.
     pub(super) fn has_confirmed(&self, stamp: MapStamp) -> bool {
@@ -37,6 +41,17 @@
     }
 }
 
+/// Forgets routers that have long stopped asking.
+pub(super) fn forget_routers(state: &mut ActingState, now: MonoTime) {
+    state.routers.retain(|_, it| !it.is_lapsed(FORGET_AFTER, now));
+}
+
+/// Whether every known router has asked lately, so that a planned move would wait for none.
+pub(super) fn are_routers_fresh(state: &ActingState, timing: &LeaseTiming, now: MonoTime) -> bool {
+    let limit = timing.router_renewal * 2 + timing.router_renewal / 2;
+    state.routers.values().all(|it| now.since(it.asked_at) < limit)
+}
+
 /// Answers one router. A router that is behind gets the map and no lease.
 pub(super) fn answer_lease(
     state: &mut ActingState,
@@ -57,7 +72,9 @@
         held: MapStamp::default(),
         drained: MapVersion::default(),
         lease_until: now,
+        asked_at: now,
     });
+    entry.asked_at = now;
     entry.held = entry.held.max(ask.held);
     entry.drained = entry.drained.max(ask.drained);
     match ask.held {
--- a/crates/ownership/src/planner/proposal.rs
+++ b/crates/ownership/src/planner/proposal.rs
@@ -16,10 +16,11 @@
     candidates::desired_witnesses,
     following::FollowingState,
     handover::previous_owners,
+    leases::are_routers_fresh,
 };
 use crate::{
     DomainMap, MapStamp, OwnerEntry, PlacementInput, SlicePhase, initial_homes, place_slices,
-    plan_releases,
+    placement::LOAD_WINDOW_SECONDS, plan_releases,
 };
 
 /// Time between rounds of moves that only even out load.
@@ -192,8 +193,7 @@
     let Some(doc) = ctx.sheet.filter(|_| ctx.record.is_reachable(ctx.now)) else {
         return;
     };
-    let is_balancing = ctx.now.since(state.balanced_at) >= BALANCE_INTERVAL;
-    let budget = if is_balancing { BALANCE_BUDGET } else { 0 };
+    let budget = if may_balance(state, ctx) { BALANCE_BUDGET } else { 0 };
     let unserved = unserved_services(state, ctx);
     let domain = &ctx.identity.domain;
     let planned = plan_releases(&doc.sheet, ctx.homes, domain, &unserved, budget, ctx.wall);
@@ -222,6 +222,13 @@
     doc.sheet.services.keys().filter(|it| is_settled && !has_live(it)).cloned().collect()
 }
 
+/// Whether slices may move now only to even out load.
+fn may_balance(state: &ActingState, ctx: &PlannerContext<'_>) -> bool {
+    ctx.now.since(state.balanced_at) >= BALANCE_INTERVAL
+        && state.handovers.is_empty()
+        && are_routers_fresh(state, &ctx.identity.timing, ctx.now)
+}
+
 fn change_owners(next: &mut DomainMap, state: &mut ActingState, ctx: &PlannerContext<'_>) {
     let domain = &ctx.identity.domain;
     let homes: BTreeMap<&SliceKey, u64> =
@@ -231,17 +238,16 @@
         .filter(|it| !state.releases.contains_key(**it))
         .map(|it| (*it).clone())
         .collect();
-    let is_balancing = ctx.now.since(state.balanced_at) >= BALANCE_INTERVAL;
-    let is_quiet = state.handovers.is_empty();
+    let is_balancing = may_balance(state, ctx);
     let input = PlacementInput {
         map: &state.map,
         slices: &slices,
         eligible: &eligible_servers(state, ctx),
         loads: &state.loads,
-        balance_budget: if is_balancing && is_quiet { BALANCE_BUDGET } else { 0 },
+        balance_budget: if is_balancing { BALANCE_BUDGET } else { 0 },
     };
     let owners = place_slices(&input);
-    if is_balancing && is_quiet {
+    if is_balancing {
         state.balanced_at = ctx.now;
     }
     let stamp = next.stamp;
@@ -334,3 +340,16 @@
     let attempt = ctx.now.as_micros() ^ ctx.identity.id.incarnation.0;
     actions.push(PlannerAction::WriteHomes(ctx.homes.with_homes(&changes, attempt)));
 }
+
+/// Averages the routers' newest counts, which come once a second, into the loads.
+pub(super) fn take_loads(state: &mut ActingState, newest: &BTreeMap<SliceKey, f64>) {
+    let gain = 1.0 / LOAD_WINDOW_SECONDS;
+    let mut averaged = std::mem::take(&mut state.loads);
+    for load in averaged.values_mut() {
+        *load *= 1.0 - gain;
+    }
+    for (key, load) in newest {
+        *averaged.entry(key.clone()).or_default() += load * gain;
+    }
+    state.loads = averaged;
+}
--- a/crates/ownership/tests/it/invariants.rs
+++ b/crates/ownership/tests/it/invariants.rs
@@ -5,7 +5,7 @@
 use model::OwnerCheck;
 use proptest::prelude::*;
 
-use crate::sim::{Sim, Trouble};
+use crate::sim::{STEP, Sim, Trouble};
 
 /// Time in which a healed domain must serve every slice again.
 const HEAL: Duration = Duration::from_secs(6);
@@ -37,6 +37,12 @@
         sim.run(Duration::from_millis(*pause));
     }
     sim.run(HEAL);
+    // A planned move may be under way at any instant, so that the state is looked at for a while.
+    for _ in 0..200 {
+        if sim.unserved() > 0 {
+            sim.run(STEP);
+        }
+    }
     assert!(sim.violations.is_empty(), "{:#?}\n{}", &sim.violations[..1], sim.log);
     assert_eq!(sim.unserved(), 0, "not served after healing\n{}", sim.log);
 }
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -101,6 +101,11 @@
         }
     }
 
+    /// Makes later calls use a fresh connection.
+    pub async fn renew(&self) {
+        self.inner.connection.lock().await.take();
+    }
+
     async fn connected(&self) -> Result<(u64, SendRequest<Bytes>), StepError> {
         let mut slot = self.inner.connection.lock().await;
         if let Some((generation, request)) = &*slot {
--- a/crates/planner/src/control.rs
+++ b/crates/planner/src/control.rs
@@ -44,6 +44,7 @@
     outside: HashMap<DomainName, WitnessState>,
     sheet: Option<SheetText>,
     loads: HashMap<VmKey, (MonoTime, Vec<(SliceKey, f64)>)>,
+    loads_fed_at: MonoTime,
 }
 
 /// Where a load report came from.
@@ -52,6 +53,9 @@
 /// Age after which a router's load report no longer counts.
 const LOAD_LIFETIME: std::time::Duration = std::time::Duration::from_secs(3);
 
+/// Time between sums of the routers' reports.
+const LOAD_INTERVAL: std::time::Duration = std::time::Duration::from_secs(1);
+
 /// Something happened to the planner.
 pub(crate) struct Happened(pub(crate) PlannerEvent);
 
@@ -84,7 +88,14 @@
             timing: state.settings.timing,
         };
         let planner = DomainPlanner::new(identity, state.clock.now());
-        Self { state, planner, outside: HashMap::new(), sheet: None, loads: HashMap::new() }
+        Self {
+            state,
+            planner,
+            outside: HashMap::new(),
+            sheet: None,
+            loads: HashMap::new(),
+            loads_fed_at: MonoTime::default(),
+        }
     }
 
     fn feed(&mut self, event: PlannerEvent, ctx: &Context<Self>) {
@@ -224,6 +235,10 @@
     async fn handle(&mut self, arrived: LoadsArrived, ctx: &mut Context<Self>) {
         let now = self.state.clock.now();
         self.loads.insert(arrived.from, (now, arrived.loads));
+        if now.since(self.loads_fed_at) < LOAD_INTERVAL {
+            return;
+        }
+        self.loads_fed_at = now;
         self.loads.retain(|_, (at, _)| now.since(*at) < LOAD_LIFETIME);
         let mut sums: BTreeMap<SliceKey, f64> = BTreeMap::new();
         for (key, load) in self.loads.values().flat_map(|(_, loads)| loads) {
--- a/crates/router/src/forward.rs
+++ b/crates/router/src/forward.rs
@@ -8,12 +8,18 @@
 };
 use peer::{ForwardAsk, ForwardReply, PeerReply, PeerRequest};
 use sheet::{VmRow, WorkState};
+use tokio::time::error::Elapsed;
 
-use crate::{keyed, state::RouterState, table::RoutingTable, traffic::RoutedRequest};
+use crate::{
+    keyed, peer_health::PeerHealth, state::RouterState, table::RoutingTable, traffic::RoutedRequest,
+};
 
 /// Longest wait for a stream to another VM before the next VM is tried.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Time after which a router that has not replied is probed.
+const REPLY_PATIENCE: Duration = Duration::from_millis(100);
+
 /// Time kept back for the way home of the answer.
 const RETURN_ALLOWANCE: Duration = Duration::from_millis(5);
 
@@ -30,11 +36,18 @@
         if left.is_zero() {
             return Err(last);
         }
+        if state.peer_health.is_lost(row.router) {
+            continue;
+        }
         let client = state.peers.client(row.router, "forward");
         let opened = tokio::time::timeout(left.min(OPEN_TIMEOUT), client.ready()).await;
-        let Ok(Ok(call)) = opened else { continue };
+        let Ok(Ok(call)) = opened else {
+            PeerHealth::doubt(state, row.router);
+            continue;
+        };
         let request = PeerRequest::Forward(forward_ask(routed, &table, left));
-        let outcome = match tokio::time::timeout(left, call.send(&request)).await {
+        let sent = await_reply(state, &table, home, call.send(&request), left).await;
+        let outcome = match sent {
             Ok(Ok(PeerReply::Forward(ForwardReply::Answered { status, headers, body }))) => {
                 return Ok(ServerAnswer { status, headers, body, load: None });
             }
@@ -56,6 +69,28 @@
     Err(last)
 }
 
+/// Waits for the reply until the deadline, and doubts the domain's routers when it is late.
+async fn await_reply<T>(
+    state: &Arc<RouterState>,
+    table: &RoutingTable,
+    home: &DomainName,
+    reply: impl Future<Output = T>,
+    left: Duration,
+) -> Result<T, Elapsed> {
+    tokio::pin!(reply);
+    let started_at = state.now();
+    match tokio::time::timeout(left.min(REPLY_PATIENCE), &mut reply).await {
+        Ok(reply) => Ok(reply),
+        Err(_) => {
+            for row in table.sheet.vms_of(home) {
+                PeerHealth::doubt(state, row.router);
+            }
+            let left = left.saturating_sub(state.now().since(started_at));
+            tokio::time::timeout(left, reply).await
+        }
+    }
+}
+
 /// VMs of the home domain, starting with another one for each router.
 fn home_vms(table: &RoutingTable, state: &RouterState, home: &DomainName) -> Vec<VmRow> {
     let wall = state.clock.wall();
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -10,6 +10,7 @@
 mod keyed;
 mod operator_edge;
 mod peer_edge;
+mod peer_health;
 mod run;
 mod settings_file;
 mod shared_service;
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -19,7 +19,7 @@
 use telemetry::RouterMetrics;
 use tokio::sync::{Notify, watch};
 
-use crate::{RouterSettings, inflight::InflightBook, table::RoutingTable};
+use crate::{RouterSettings, inflight::InflightBook, peer_health::PeerHealth, table::RoutingTable};
 
 /// Shortest time between replacements of one server's connections.
 const RENEW_INTERVAL: Duration = Duration::from_millis(500);
@@ -34,6 +34,7 @@
     pub(crate) backend: HttpBackend,
     pub(crate) peers: PeerBook,
     pub(crate) inflight: InflightBook,
+    pub(crate) peer_health: PeerHealth,
     /// Wakes the control thread to ask for a lease at once.
     pub(crate) ask_now: Notify,
     pub(crate) n_serving: AtomicUsize,
@@ -67,6 +68,7 @@
             metrics: RouterMetrics::default(),
             peers,
             inflight: InflightBook::default(),
+            peer_health: PeerHealth::default(),
             ask_now: Notify::new(),
             n_serving: AtomicUsize::new(0),
             is_leaving: AtomicBool::new(false),
