ownership: grant no moving slice to its earlier owner after a takeover

Cause: a search of 1,500 cases found (1) a new planner that granted a slice, which was moving when the old planner was lost, to its earlier owner again while the next owner already held its grant; (2) two candidates of a domain of two VMs that refused each other at the same moments for ever. Change: a new planner grants only open slices again; a refused candidate waits a time that grows with its rank among the witnesses. Waiting the planner's silence as well was tried first and broke the stated second after a paused planner.

--- a/crates/ownership/src/planner/election.rs
+++ b/crates/ownership/src/planner/election.rs
@@ -118,7 +118,7 @@
                 Some(map) if is_mine => Some(found(map.clone(), ctx)),
                 Some(map) if map.stamp.term >= state.term => {
                     ctx.witness.observe_term(map.stamp.term);
-                    Some(give_up(ctx))
+                    Some(give_up(state, ctx))
                 }
                 _ => None,
             }
@@ -138,8 +138,13 @@
     PlannerRole::Acting(Box::new(ActingState::founded(map, ctx.now)))
 }
 
-fn give_up(ctx: &PlannerContext<'_>) -> PlannerRole {
-    let pause = ctx.identity.timing.planner_silence;
+/// Follows again for a while that differs between the witnesses, so that two candidates that
+/// refused each other do not do so forever.
+fn give_up(state: &ElectionState, ctx: &PlannerContext<'_>) -> PlannerRole {
+    let timing = &ctx.identity.timing;
+    let witnesses = &state.base.witnesses;
+    let rank = witnesses.iter().position(|it| *it == ctx.identity.id).unwrap_or(witnesses.len());
+    let pause = timing.takeover_stagger * 2 * (rank as u32 + 1);
     PlannerRole::Following(FollowingState::new(ctx.now + pause))
 }
 
@@ -160,7 +165,7 @@
         }
         PrepareAnswer::Refused { promised } => {
             ctx.witness.observe_term(*promised);
-            Some(give_up(ctx))
+            Some(give_up(state, ctx))
         }
         PrepareAnswer::PlannerAlive => None,
         PrepareAnswer::Restarted { current } => {
@@ -192,7 +197,7 @@
         return None;
     }
     let is_over = ctx.now.since(state.started_at) >= ELECTION_TIMEOUT;
-    is_over.then(|| give_up(ctx))
+    is_over.then(|| give_up(state, ctx))
 }
 
 /// Writes a new record with new witnesses, once every lease under the old ones has lapsed.
--- a/crates/ownership/src/planner/grants.rs
+++ b/crates/ownership/src/planner/grants.rs
@@ -299,11 +299,10 @@
         let mut entry = ServerEntry::new(check, state.predecessor_until, ctx.now);
         for (key, owned) in &state.map.entries {
             let is_owner = owned.owner.as_ref() == Some(&row.name);
-            let previous = owned.previous.iter().find(|it| it.server == row.name);
-            match (owned.phase, previous) {
-                (SlicePhase::Open, _) if is_owner => entry.adopt_grant(key, owned.token),
-                (SlicePhase::Moving, Some(it)) => entry.adopt_grant(key, it.token),
-                _ => (),
+            // An earlier planner may have granted a moving slice to its next owner already, so
+            // that only open slices are granted again.
+            if is_owner && owned.phase == SlicePhase::Open {
+                entry.adopt_grant(key, owned.token);
             }
         }
         state.servers.insert(row.name.clone(), entry);
