policy: warm servers up under a ceiling that the routers' shares add up to

Cause: a returning or suddenly cold server got its full share of the load from eleven routers at once. Change: each router has a rank for each server, computed from the sheet, and the parts of a total add up to it exactly; a server whose host refused or broke a connection gets nothing until a probe finds it, then its cold slots for warm-ms, then a ramp. A refusal for being cold is passed on through the planners to all routers. Keyed requests for a cold owner go through the router that has the first share.

--- a/crates/backend/src/answer.rs
+++ b/crates/backend/src/answer.rs
@@ -41,6 +41,7 @@
     let reason = header(headers, NOT_RUN_HEADER).filter(|_| status.is_server_error())?;
     match reason {
         "fenced" => Some(NotRunReason::Fenced),
+        "cold" => Some(NotRunReason::ColdServer),
         "deadline" => Some(NotRunReason::DeadlinePassed),
         _ => Some(NotRunReason::Shed),
     }
--- a/crates/caller/src/outcome.rs
+++ b/crates/caller/src/outcome.rs
@@ -52,7 +52,9 @@
     match reason {
         NotRunReason::UnknownService => StatusCode::NOT_FOUND,
         NotRunReason::BadRequest => StatusCode::BAD_REQUEST,
-        NotRunReason::Overloaded | NotRunReason::Shed => StatusCode::TOO_MANY_REQUESTS,
+        NotRunReason::Overloaded | NotRunReason::Shed | NotRunReason::ColdServer => {
+            StatusCode::TOO_MANY_REQUESTS
+        }
         _ => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
--- a/crates/model/src/request.rs
+++ b/crates/model/src/request.rs
@@ -84,6 +84,8 @@
     Overloaded,
     /// The server shed the request before running it.
     Shed,
+    /// The server is warming up and bears no more yet.
+    ColdServer,
     /// The server refused the fencing token before running it.
     Fenced,
     /// No connection to the server could be made.
@@ -102,6 +104,8 @@
     DeadlinePassed,
     /// The connection broke after the request was sent.
     ConnectionLost,
+    /// The key's owner changed before it answered.
+    OwnerChanged,
     /// The answer ended before its declared length.
     AnswerCut,
     /// The answer belonged to another request.
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -7,6 +7,6 @@
 
 pub use client::{ByteCount, PeerBook, PeerClient};
 pub use messages::{
-    ForwardAsk, ForwardReply, PeerReply, PeerRequest, SheetText, WatchAsk, WatchNews,
+    ColdNotice, ForwardAsk, ForwardReply, PeerReply, PeerRequest, SheetText, WatchAsk, WatchNews,
 };
 pub use server::{PeerService, serve_peers};
--- a/crates/peer/src/messages.rs
+++ b/crates/peer/src/messages.rs
@@ -3,7 +3,9 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use model::{CallOutcome, Incarnation, RequestId, ServiceName, SheetRevision, SliceKey, VmName};
+use model::{
+    CallOutcome, Incarnation, RequestId, ServerName, ServiceName, SheetRevision, SliceKey, VmName,
+};
 use ownership::{
     AcceptAnswer, AcceptAsk, DomainMap, HomesTable, LeaseAnswer, LeaseAsk, MapStamp, PrepareAnswer,
     PrepareAsk,
@@ -30,6 +32,8 @@
         /// Load of each slice that had any.
         loads: Vec<(SliceKey, f64)>,
     },
+    /// A server was found cold; the planner tells the other routers.
+    Cold(ColdNotice),
     /// A caller's request for a key whose home is the receiver's domain.
     Forward(ForwardAsk),
 }
@@ -75,6 +79,8 @@
     pub map: Option<MapStamp>,
     /// Open slices in its map.
     pub n_open: u32,
+    /// Notices of cold servers that it has seen lately.
+    pub known_cold: Vec<u64>,
     /// Longest wait for news.
     pub wait: Duration,
 }
@@ -90,6 +96,19 @@
     pub homes: Option<HomesTable>,
     /// A newer map.
     pub map: Option<Arc<DomainMap>>,
+    /// Servers found cold lately.
+    pub cold: Vec<ColdNotice>,
+}
+
+/// A router was refused by a server because the server is cold.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ColdNotice {
+    /// Identity of the notice.
+    pub id: u64,
+    /// The server's service.
+    pub service: ServiceName,
+    /// The server.
+    pub server: ServerName,
 }
 
 /// A caller's request on its way to the home domain.
--- a/crates/planner/src/control.rs
+++ b/crates/planner/src/control.rs
@@ -11,7 +11,7 @@
     PlannerDump, PlannerEvent, PlannerIdentity, PrepareAnswer, PrepareAsk, SheetDoc, VmId,
     WitnessState,
 };
-use peer::{PeerBook, SheetText};
+use peer::{ColdNotice, PeerBook, SheetText};
 use platform::HttpStore;
 use settings::ProcessClock;
 use sheet::PlanSheet;
@@ -77,6 +77,9 @@
     pub(crate) loads: Vec<(SliceKey, f64)>,
 }
 
+/// A server was found cold.
+pub(crate) struct ColdArrived(pub(crate) ColdNotice);
+
 /// Asks for the state that operators see.
 pub(crate) struct DumpAsked;
 
@@ -248,6 +251,15 @@
     }
 }
 
+impl Handler<ColdArrived> for PlannerActor {
+    type Return = ();
+
+    async fn handle(&mut self, arrived: ColdArrived, _ctx: &mut Context<Self>) {
+        let now = self.state.clock.now();
+        self.state.published.send_if_modified(|it| it.note_cold(arrived.0, now));
+    }
+}
+
 impl Handler<DumpAsked> for PlannerActor {
     type Return = PlannerDump;
 
--- a/crates/planner/src/peer_edge.rs
+++ b/crates/planner/src/peer_edge.rs
@@ -7,7 +7,8 @@
 
 use crate::{
     control::{
-        AcceptArrived, LeaseArrived, LoadsArrived, PlannerActor, PlannerState, PrepareArrived,
+        AcceptArrived, ColdArrived, LeaseArrived, LoadsArrived, PlannerActor, PlannerState,
+        PrepareArrived,
     },
     publication::await_news,
 };
@@ -34,6 +35,9 @@
                 let arrived = LoadsArrived { from: from.to_string(), loads };
                 self.actor.send(arrived).await.map(|()| PeerReply::Done)
             }
+            PeerRequest::Cold(notice) => {
+                self.actor.send(ColdArrived(notice)).await.map(|()| PeerReply::Done)
+            }
             PeerRequest::Hello => Ok(PeerReply::Hello(self.state.incarnation)),
             PeerRequest::Watch(ask) => {
                 Ok(PeerReply::Watch(await_news(self.state.published.subscribe(), ask).await))
--- a/crates/planner/src/publication.rs
+++ b/crates/planner/src/publication.rs
@@ -2,9 +2,9 @@
 
 use std::{sync::Arc, time::Duration};
 
-use model::SheetRevision;
+use model::{MonoTime, SheetRevision};
 use ownership::{DomainMap, HomesTable};
-use peer::{SheetText, WatchAsk, WatchNews};
+use peer::{ColdNotice, SheetText, WatchAsk, WatchNews};
 use tokio::sync::watch;
 
 /// The newest of everything that is published.
@@ -15,13 +15,33 @@
     pub(crate) homes: Arc<HomesTable>,
     /// The committed map, while this planner acts.
     pub(crate) map: Option<Arc<DomainMap>>,
+    /// Servers found cold lately, with the time of each notice.
+    cold: Vec<(ColdNotice, MonoTime)>,
 }
 
+/// Time for which a notice of a cold server is passed on.
+const COLD_NOTICE_LIFETIME: Duration = Duration::from_secs(2);
+
 impl Publication {
     fn sheet_revision(&self) -> SheetRevision {
         self.sheet.as_ref().map_or_else(SheetRevision::default, |it| it.revision)
     }
 
+    /// Notes that a server was found cold. Returns false for a notice that is known.
+    pub(crate) fn note_cold(&mut self, notice: ColdNotice, now: MonoTime) -> bool {
+        self.cold.retain(|(_, at)| now.since(*at) < COLD_NOTICE_LIFETIME);
+        let is_new = self.cold.iter().all(|(it, _)| it.id != notice.id);
+        if is_new {
+            self.cold.push((notice, now));
+        }
+        is_new
+    }
+
+    /// Identities of the notices that are passed on.
+    pub(crate) fn known_cold(&self) -> Vec<u64> {
+        self.cold.iter().map(|(it, _)| it.id).collect()
+    }
+
     /// What is newer here than what the asker holds, if anything.
     fn news_for(&self, ask: &WatchAsk) -> Option<WatchNews> {
         let is_newer_map = |map: &&Arc<DomainMap>| {
@@ -35,8 +55,17 @@
             sheet: self.sheet.clone().filter(|_| ask.sheet < self.sheet_revision()),
             homes: (ask.homes < self.homes.revision).then(|| HomesTable::clone(&self.homes)),
             map: self.map.as_ref().filter(is_newer_map).cloned(),
+            cold: self
+                .cold
+                .iter()
+                .filter(|(it, _)| !ask.known_cold.contains(&it.id))
+                .map(|(it, _)| it.clone())
+                .collect(),
         };
-        let is_news = news.sheet.is_some() || news.homes.is_some() || news.map.is_some();
+        let is_news = news.sheet.is_some()
+            || news.homes.is_some()
+            || news.map.is_some()
+            || !news.cold.is_empty();
         is_news.then_some(news)
     }
 }
--- a/crates/planner/src/relay.rs
+++ b/crates/planner/src/relay.rs
@@ -9,7 +9,7 @@
 use sheet::PlanSheet;
 use xtra::prelude::*;
 
-use crate::control::{Happened, PlannerActor, PlannerState, SheetArrived};
+use crate::control::{ColdArrived, Happened, PlannerActor, PlannerState, SheetArrived};
 
 /// Longest wait of one watch of the store.
 const STORE_WATCH_WAIT: Duration = Duration::from_secs(4);
@@ -161,6 +161,7 @@
             homes: published.homes.revision,
             map: None,
             n_open: 0,
+            known_cold: published.known_cold(),
             wait: PEER_WATCH_WAIT,
         }
     };
@@ -176,6 +177,9 @@
     if is_own_planner {
         let _ = actor.send(Happened(PlannerEvent::PlannerHeard)).await;
     }
+    for notice in news.cold {
+        let _ = actor.send(ColdArrived(notice)).await;
+    }
     if let Some(text) = news.sheet {
         let _ = actor.send(SheetArrived(text)).await;
     }
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use model::NotRunReason;
+use model::{MonoTime, NotRunReason};
 
 use crate::ServerView;
 
@@ -16,16 +16,18 @@
 /// Whether a request with `left` until its deadline may be sent to a server now.
 ///
 /// # Errors
-/// `Overloaded` when the router's share of connections is in use or the expected wait is longer
+/// `ColdServer` while the warm-up leaves no room, `Overloaded` when the router's share of connections is in use or the expected wait is longer
 /// than the time left; `DeadlinePassed` when no time is left.
 pub fn admit(
     view: &ServerView,
     limits: AdmissionLimits,
     typical: f64,
     left: Duration,
+    now: MonoTime,
 ) -> Result<(), NotRunReason> {
     let share = (view.connections() / limits.n_routers.max(1)).max(view.slots()).max(1);
     match () {
+        () if !view.has_room(now) => Err(NotRunReason::ColdServer),
         () if left.is_zero() => Err(NotRunReason::DeadlinePassed),
         () if view.n_open() >= share as usize => Err(NotRunReason::Overloaded),
         () if queue_seconds(view, typical) > left.as_secs_f64() => Err(NotRunReason::Overloaded),
--- a/crates/policy/src/balancer.rs
+++ b/crates/policy/src/balancer.rs
@@ -82,8 +82,10 @@
         tried: &[ServerName],
         now: MonoTime,
     ) -> Option<ServerName> {
-        let untried: Vec<&Candidate> =
-            candidates.iter().filter(|it| !tried.contains(&it.name)).collect();
+        let untried: Vec<&Candidate> = candidates
+            .iter()
+            .filter(|it| !tried.contains(&it.name) && self.has_room(&it.name, now))
+            .collect();
         let rested: Vec<&Candidate> =
             untried.iter().copied().filter(|it| !self.is_paused(&it.name, now)).collect();
         let pool = if rested.is_empty() { untried } else { rested };
@@ -188,6 +190,30 @@
         self.latency
     }
 
+    fn has_room(&self, server: &ServerName, now: MonoTime) -> bool {
+        self.servers.get(server).is_none_or(|it| it.has_room(now))
+    }
+
+    /// Notes that a probe found a lost server alive.
+    pub fn note_alive(&mut self, server: &ServerName, now: MonoTime) {
+        if let Some(view) = self.servers.get_mut(server) {
+            view.note_alive(now);
+        }
+    }
+
+    /// Notes that another router found a server cold.
+    pub fn note_cold(&mut self, server: &ServerName, now: MonoTime) {
+        if let Some(view) = self.servers.get_mut(server) {
+            view.note_cold(now);
+        }
+    }
+
+    /// Servers that have to be probed before they are given anything.
+    pub fn lost_servers(&self) -> Vec<ServerName> {
+        let lost = self.servers.iter().filter(|(_, it)| it.is_lost());
+        lost.map(|(name, _)| name.clone()).collect()
+    }
+
     fn n_open(&self, server: &ServerName) -> usize {
         self.servers.get(server).map_or(0, ServerView::n_open)
     }
--- a/crates/policy/src/server_view.rs
+++ b/crates/policy/src/server_view.rs
@@ -4,6 +4,8 @@
 
 use model::MonoTime;
 
+use crate::{ColdProfile, RouterShare, WarmupState};
+
 /// What the sheet says a server can bear, and how many routers share it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ServerProfile {
@@ -11,6 +13,10 @@
     pub slots: u32,
     /// Connections that it accepts.
     pub connections: u32,
+    /// What it bears after its start.
+    pub cold: ColdProfile,
+    /// This router's place among those that share it.
+    pub share: RouterShare,
 }
 
 /// One open call.
@@ -24,6 +30,10 @@
     Answered,
     /// The server refused for lack of capacity.
     Shed,
+    /// The server said that it is cold.
+    Cold,
+    /// The server's host refused the connection.
+    Refused,
     /// The server could not be reached or broke off.
     Failed,
     /// This router gave up waiting.
@@ -52,6 +62,7 @@
     n_failed: u32,
     paused_until: MonoTime,
     hint: Option<(u32, MonoTime)>,
+    warmup: WarmupState,
 }
 
 impl ServerView {
@@ -65,6 +76,7 @@
             n_failed: 0,
             paused_until: MonoTime::default(),
             hint: None,
+            warmup: WarmupState::Warm,
         }
     }
 
@@ -93,6 +105,7 @@
             return;
         };
         let age = now.since(started_at).as_secs_f64();
+        self.note_warmth(result, now);
         match result {
             CallResult::Answered => {
                 let old = self.latency.unwrap_or(age);
@@ -104,7 +117,7 @@
                 let old = self.latency.unwrap_or(age);
                 self.latency = Some(old.max(old + (age - old) * LATENCY_GAIN));
             }
-            CallResult::Shed | CallResult::Failed => {
+            CallResult::Shed | CallResult::Cold | CallResult::Refused | CallResult::Failed => {
                 let pause = (FIRST_PAUSE * 2u32.pow(self.n_failed.min(5))).min(MAX_PAUSE);
                 self.n_failed += 1;
                 self.paused_until = now + pause;
@@ -115,6 +128,44 @@
         }
     }
 
+    fn note_warmth(&mut self, result: CallResult, now: MonoTime) {
+        let state = self.warmup.aged(self.profile.cold, now);
+        self.warmup = match result {
+            CallResult::Answered => state.answered(now),
+            CallResult::Cold => state.found_cold(now),
+            // A broken connection may be the server's end; a probe tells.
+            CallResult::Refused | CallResult::Failed => state.lost(),
+            CallResult::Shed | CallResult::Abandoned => state,
+        };
+    }
+
+    /// Notes that a probe found the server alive.
+    pub fn note_alive(&mut self, now: MonoTime) {
+        self.warmup = self.warmup.answered(now);
+        self.paused_until = MonoTime::default();
+        self.n_failed = 0;
+    }
+
+    /// Notes that another router found the server cold.
+    pub fn note_cold(&mut self, now: MonoTime) {
+        self.warmup = self.warmup.found_cold(now);
+    }
+
+    /// Whether the server has to be probed before it is given anything.
+    pub fn is_lost(&self) -> bool {
+        self.warmup == WarmupState::Lost
+    }
+
+    /// Whether the warm-up leaves room for one more call.
+    pub fn has_room(&self, now: MonoTime) -> bool {
+        let allowance = self.warmup.aged(self.profile.cold, now).allowance(
+            self.profile.cold,
+            self.profile.share,
+            now,
+        );
+        allowance.is_none_or(|it| self.open.len() < it as usize)
+    }
+
     /// Calls under way.
     pub fn n_open(&self) -> usize {
         self.open.len()
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -72,12 +72,15 @@
 
 fn call_result(failure: &CallFailure) -> CallResult {
     match failure.outcome {
+        CallOutcome::NotRun(_) if failure.is_refused => CallResult::Refused,
         CallOutcome::NotRun(NotRunReason::Shed) => CallResult::Shed,
+        CallOutcome::NotRun(NotRunReason::ColdServer) => CallResult::Cold,
         CallOutcome::NotRun(NotRunReason::Fenced | NotRunReason::DeadlinePassed) => {
             CallResult::Abandoned
         }
-        CallOutcome::Unknown(UnknownReason::DeadlinePassed) => CallResult::Abandoned,
-        _ => CallResult::Failed,
+        CallOutcome::Unknown(UnknownReason::ConnectionLost) => CallResult::Failed,
+        CallOutcome::Unknown(_) => CallResult::Abandoned,
+        CallOutcome::NotRun(_) => CallResult::Shed,
     }
 }
 
@@ -110,6 +113,13 @@
     {
         state.suspect(&peer.name);
     }
+    let is_cold = matches!(
+        &res,
+        Err(failure) if failure.outcome == CallOutcome::NotRun(NotRunReason::ColdServer)
+    );
+    if is_cold {
+        state.report_cold(&routed.spec.name, &peer.name);
+    }
     call.finish(&res);
     res
 }
--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -1,6 +1,6 @@
 //! The control thread's actor: keeps the lease and the newest sheet, homes and map.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::VecDeque, net::SocketAddr, sync::Arc, time::Duration};
 
 use model::{MonoTime, SheetRevision, WallTime};
 use ownership::{DomainMap, HomesTable, LeaseAnswer, LeaseAsk, RouterView, VmId};
@@ -39,8 +39,12 @@
     leased_at: MonoTime,
     candidates_at: Option<WallTime>,
     loads_at: MonoTime,
+    known_cold: VecDeque<u64>,
 }
 
+/// Notices of cold servers that are remembered.
+const MAX_KNOWN_COLD: usize = 32;
+
 /// Time to renew the lease.
 pub(crate) struct Renew;
 
@@ -75,6 +79,7 @@
             leased_at: MonoTime::default(),
             candidates_at: None,
             loads_at: MonoTime::default(),
+            known_cold: VecDeque::new(),
         }
     }
 
@@ -166,6 +171,25 @@
         });
     }
 
+    /// Passes notices of cold servers to the acting planner.
+    fn report_cold(&mut self) {
+        let Some(target) = self.acting else { return };
+        for notice in self.state.take_cold_reports() {
+            self.remember_cold(notice.id);
+            let client = self.state.peers.client(target, "lease");
+            tokio::spawn(async move {
+                let _ = client.call(&PeerRequest::Cold(notice), LEASE_TIMEOUT).await;
+            });
+        }
+    }
+
+    fn remember_cold(&mut self, id: u64) {
+        self.known_cold.push_back(id);
+        if self.known_cold.len() > MAX_KNOWN_COLD {
+            self.known_cold.pop_front();
+        }
+    }
+
     fn report_loads(&mut self, now: MonoTime) {
         let elapsed = now.since(self.loads_at);
         let Some(target) = self.acting.filter(|_| elapsed >= LOAD_INTERVAL) else {
@@ -201,6 +225,7 @@
             }
         }
         self.report_loads(now);
+        self.report_cold();
         if self.candidates_at.is_some_and(|it| it != self.state.clock.wall()) {
             self.publish();
         }
@@ -242,6 +267,10 @@
         let has_sheet = news.sheet.as_ref().is_some_and(|it| self.take_sheet(it));
         let has_homes = news.homes.is_some_and(|it| self.take_homes(it));
         let has_map = news.map.as_ref().is_some_and(|it| self.take_map(it));
+        for notice in &news.cold {
+            self.remember_cold(notice.id);
+            self.state.note_cold(notice);
+        }
         if news.is_acting {
             self.acting = Some(from);
         }
@@ -275,6 +304,7 @@
             homes: self.homes.revision,
             map: Some(self.view.stamp()),
             n_open: map.map_or(0, |it| it.open_count() as u32),
+            known_cold: self.known_cold.iter().copied().collect(),
             wait: WATCH_WAIT,
         };
         target.map(|it| (it, ask))
--- a/crates/router/src/forward.rs
+++ b/crates/router/src/forward.rs
@@ -11,7 +11,11 @@
 use tokio::time::error::Elapsed;
 
 use crate::{
-    keyed, peer_health::PeerHealth, state::RouterState, table::RoutingTable, traffic::RoutedRequest,
+    keyed,
+    peer_health::PeerHealth,
+    state::RouterState,
+    table::RoutingTable,
+    traffic::{RequestOrigin, RoutedRequest},
 };
 
 /// Longest wait for a stream to another VM before the next VM is tried.
@@ -21,7 +25,7 @@
 const REPLY_PATIENCE: Duration = Duration::from_millis(100);
 
 /// Time kept back for the way home of the answer.
-const RETURN_ALLOWANCE: Duration = Duration::from_millis(5);
+const RETURN_ALLOWANCE: Duration = Duration::from_millis(25);
 
 /// Sends a request to a router of the key's home domain.
 pub(crate) async fn send_home(
@@ -30,8 +34,30 @@
     home: &DomainName,
 ) -> Result<ServerAnswer, CallOutcome> {
     let table = state.table();
+    let rows = home_vms(&table, state, home);
+    send_to_first(state, routed, &table, &rows).await
+}
+
+/// Sends a request to one other router.
+pub(crate) async fn send_to_vm(
+    state: &Arc<RouterState>,
+    routed: &RoutedRequest,
+    table: &RoutingTable,
+    row: &VmRow,
+) -> Result<ServerAnswer, CallOutcome> {
+    send_to_first(state, routed, table, std::slice::from_ref(row)).await
+}
+
+/// Sends a request to the first of these routers that can be reached, and to the next while the
+/// request certainly has not run or may run twice.
+async fn send_to_first(
+    state: &Arc<RouterState>,
+    routed: &RoutedRequest,
+    table: &RoutingTable,
+    rows: &[VmRow],
+) -> Result<ServerAnswer, CallOutcome> {
     let mut last = CallOutcome::NotRun(NotRunReason::ConnectFailed);
-    for row in home_vms(&table, state, home) {
+    for row in rows {
         let left = routed.left(state.now());
         if left.is_zero() {
             return Err(last);
@@ -45,8 +71,8 @@
             PeerHealth::doubt(state, row.router);
             continue;
         };
-        let request = PeerRequest::Forward(forward_ask(routed, &table, left));
-        let sent = await_reply(state, &table, home, call.send(&request), left).await;
+        let request = PeerRequest::Forward(forward_ask(routed, table, left));
+        let sent = await_reply(state, table, &row.domain, call.send(&request), left).await;
         let outcome = match sent {
             Ok(Ok(PeerReply::Forward(ForwardReply::Answered { status, headers, body }))) => {
                 return Ok(ServerAnswer { status, headers, body, load: None });
@@ -142,6 +168,7 @@
     let routed = RoutedRequest {
         idempotency: spec.idempotency(&ask.method),
         deadline: now + deadline_left,
+        origin: RequestOrigin::Router,
         spec: Arc::new(spec.clone()),
         key: ask.key,
         request: ServerRequest {
--- a/crates/router/src/keyed.rs
+++ b/crates/router/src/keyed.rs
@@ -12,10 +12,11 @@
 
 use crate::{
     attempt::{OpenCall, SendCause, is_over, send},
+    forward::send_to_vm,
     inflight::InflightGuard,
     state::{RouterState, lock},
-    table::RoutingTable,
-    traffic::{RoutedRequest, progress_timeout},
+    table::{RoutingTable, first_sharer},
+    traffic::{RequestOrigin, RoutedRequest, progress_timeout},
 };
 
 /// Time after which a request that waits for its owner looks again.
@@ -43,7 +44,7 @@
         let outcome = match run.find_owner(&table, now) {
             Err(NotRunReason::NotHome) => return Err(CallOutcome::NotRun(NotRunReason::NotHome)),
             Err(reason) => CallOutcome::NotRun(reason),
-            Ok(route) => match run.serve_at(&table, &route, cause).await {
+            Ok(route) => match run.serve_or_pass_on(&table, &route, cause).await {
                 Ok(answer) => return Ok(answer),
                 Err(outcome) => {
                     cause = next_cause(cause, outcome);
@@ -66,8 +67,10 @@
 
 fn next_cause(cause: SendCause, outcome: CallOutcome) -> SendCause {
     match outcome {
+        // Each change of owner sends a request once more at the most, so that no budget is needed.
+        CallOutcome::Unknown(UnknownReason::OwnerChanged) => SendCause::Replacement,
         CallOutcome::Unknown(_) => SendCause::Again,
-        CallOutcome::NotRun(NotRunReason::Overloaded) => cause,
+        CallOutcome::NotRun(NotRunReason::Overloaded | NotRunReason::ColdServer) => cause,
         CallOutcome::NotRun(_) if cause == SendCause::Again => SendCause::Again,
         CallOutcome::NotRun(_) => SendCause::Replacement,
     }
@@ -80,6 +83,7 @@
             NotRunReason::NoOwner
             | NotRunReason::NoLease
             | NotRunReason::Fenced
+            | NotRunReason::ColdServer
             | NotRunReason::ConnectFailed,
         ) => true,
         CallOutcome::NotRun(_) => false,
@@ -102,6 +106,27 @@
         table.view.route(&self.routed.spec.name, self.base, self.hash, now)
     }
 
+    /// Serves the request here, or by the router that may send to the owner while it is cold.
+    async fn serve_or_pass_on(
+        &self,
+        table: &RoutingTable,
+        route: &OwnerRoute,
+        cause: SendCause,
+    ) -> Result<ServerAnswer, CallOutcome> {
+        let res = self.serve_at(table, route, cause).await;
+        if !matches!(res, Err(CallOutcome::NotRun(NotRunReason::ColdServer)))
+            || self.routed.origin == RequestOrigin::Router
+        {
+            return res;
+        }
+        let row = table.sheet.servers.get(&route.server);
+        let sharer = row.and_then(|it| first_sharer(&table.sheet, it));
+        match sharer.filter(|it| it.name != self.state.settings.identity.vm) {
+            Some(sharer) => send_to_vm(self.state, self.routed, table, sharer).await,
+            None => res,
+        }
+    }
+
     /// Sends the request to the owner that `route` names.
     async fn serve_at(
         &self,
@@ -157,7 +182,7 @@
         tokio::select! {
             res = answer => res,
             () = self.await_move(route) => Err(CallFailure {
-                outcome: CallOutcome::Unknown(UnknownReason::ConnectionLost),
+                outcome: CallOutcome::Unknown(UnknownReason::OwnerChanged),
                 is_refused: false,
                 load: None,
             }),
@@ -221,7 +246,7 @@
     let Some(view) = balancer.server(&route.server) else {
         return Err(NotRunReason::NoOwner);
     };
-    admit(view, AdmissionLimits { n_routers }, balancer.latency(), routed.left(now))
+    admit(view, AdmissionLimits { n_routers }, balancer.latency(), routed.left(now), now)
 }
 
 /// A request that may still run at its server stays counted until its deadline has passed there.
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -7,11 +7,13 @@
     time::Duration,
 };
 
+use backend::BackendPort;
 use caller::{CallerLimits, serve_callers};
 use clap::Command;
 use eyre::WrapErr;
 use model::Incarnation;
 use operator::serve_operators;
+use ownership::GrantAnswer;
 use peer::{ByteCount, PeerBook, PeerReply, PeerRequest, serve_peers};
 use settings::{ProcessClock, SettingsCommand, daemon_command, read_daemon_arguments, read_file};
 use slog::{Logger, info};
@@ -28,7 +30,7 @@
     control::{ControlActor, NewsArrived, Renew, WatchPlan},
     operator_edge::RouterSource,
     peer_edge::RouterPeerService,
-    state::RouterState,
+    state::{RouterState, lock},
     traffic::TrafficService,
 };
 
@@ -120,6 +122,7 @@
     tokio::spawn(renew_loop(state.clone(), actor.clone()));
     tokio::spawn(watch_loop(state.clone(), actor));
     tokio::spawn(serve_operators(operators, RouterSource { state: state.clone() }));
+    tokio::spawn(probe_lost_servers(state.clone()));
     tokio::spawn(count_bytes(state.clone(), bytes.clone()));
 
     let (stop, stopped) = tokio::sync::oneshot::channel::<()>();
@@ -219,3 +222,24 @@
         state.metrics.control_bytes.inc_by(bytes.total().saturating_sub(counted));
     }
 }
+
+/// Time between probes of servers whose hosts refused a connection.
+const LOST_PROBE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Finds out when lost servers return.
+async fn probe_lost_servers(state: Arc<RouterState>) {
+    loop {
+        tokio::time::sleep(LOST_PROBE_INTERVAL).await;
+        let table = state.table();
+        for service in table.sheet.services.keys() {
+            let lost = lock(&state.balancer(service)).lost_servers();
+            for server in lost {
+                let Some(peer) = state.server_peer(&table, &server) else { continue };
+                if let GrantAnswer::Acked { .. } = state.backend.probe(&peer).await {
+                    info!(state.log, "server-returned"; "server" => %server);
+                    state.note_alive(service, &server);
+                }
+            }
+        }
+    }
+}
--- a/crates/router/src/shared_service.rs
+++ b/crates/router/src/shared_service.rs
@@ -107,7 +107,9 @@
         };
         let cause = match failure.outcome {
             CallOutcome::NotRun(NotRunReason::ConnectFailed) => SendCause::Replacement,
-            CallOutcome::NotRun(NotRunReason::Shed | NotRunReason::Fenced) => SendCause::Again,
+            CallOutcome::NotRun(
+                NotRunReason::Shed | NotRunReason::ColdServer | NotRunReason::Fenced,
+            ) => SendCause::Again,
             CallOutcome::Unknown(UnknownReason::DeadlinePassed) => return self.renew(server),
             CallOutcome::Unknown(_) if self.routed.idempotency == Idempotency::Idempotent => {
                 SendCause::Again
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -12,14 +12,20 @@
 use arc_swap::ArcSwap;
 use backend::{BackendPort, HttpBackend, ServerPeer};
 use model::{MonoTime, RequestId, ServerName, ServiceName, SliceKey};
-use peer::PeerBook;
-use policy::{ServerProfile, ServiceBalancer};
+use peer::{ColdNotice, PeerBook};
+use policy::{ColdProfile, ServerProfile, ServiceBalancer};
 use settings::ProcessClock;
+use sheet::ServerRow;
 use slog::Logger;
 use telemetry::RouterMetrics;
 use tokio::sync::{Notify, watch};
 
-use crate::{RouterSettings, inflight::InflightBook, peer_health::PeerHealth, table::RoutingTable};
+use crate::{
+    RouterSettings,
+    inflight::InflightBook,
+    peer_health::PeerHealth,
+    table::{RoutingTable, router_share},
+};
 
 /// Shortest time between replacements of one server's connections.
 const RENEW_INTERVAL: Duration = Duration::from_millis(500);
@@ -46,6 +52,7 @@
     changes: watch::Sender<u64>,
     balancers: Mutex<HashMap<ServiceName, Arc<Mutex<ServiceBalancer>>>>,
     suspects: Mutex<Vec<ServerName>>,
+    cold_reported: Mutex<Vec<ColdNotice>>,
     renewed: Mutex<HashMap<ServerName, MonoTime>>,
     slice_counts: Mutex<HashMap<SliceKey, u64>>,
     next_id: AtomicU64,
@@ -77,6 +84,7 @@
             changes: watch::Sender::new(0),
             balancers: Mutex::default(),
             suspects: Mutex::default(),
+            cold_reported: Mutex::default(),
             renewed: Mutex::default(),
             slice_counts: Mutex::default(),
             next_id: AtomicU64::new(0),
@@ -114,15 +122,53 @@
     /// Takes the servers of a new sheet into the balancers.
     pub(crate) fn update_balancers(&self, table: &RoutingTable) {
         for service in table.sheet.services.keys() {
-            let profiles = table.sheet.servers_of(service).map(|it| {
-                let profile = ServerProfile { slots: it.slots, connections: it.connections };
-                (it.name.clone(), profile)
-            });
+            let profiles = table.sheet.servers_of(service);
+            let profiles = profiles.map(|it| (it.name.clone(), self.server_profile(table, it)));
             let balancer = self.balancer(service);
             lock(&balancer).set_servers(profiles);
         }
     }
 
+    fn server_profile(&self, table: &RoutingTable, row: &ServerRow) -> ServerProfile {
+        ServerProfile {
+            slots: row.slots,
+            connections: row.connections,
+            cold: ColdProfile {
+                cold_slots: row.cold_slots,
+                slots: row.slots,
+                warm_after: row.warm_after,
+            },
+            share: router_share(&table.sheet, row, &self.settings.identity.vm),
+        }
+    }
+
+    /// Notes that a probe found a lost server alive.
+    pub(crate) fn note_alive(&self, service: &ServiceName, server: &ServerName) {
+        let balancer = self.balancer(service);
+        lock(&balancer).note_alive(server, self.now());
+    }
+
+    /// Notes that a server refused a request because it is cold, to be told to other routers.
+    pub(crate) fn report_cold(&self, service: &ServiceName, server: &ServerName) {
+        let id = rand::random();
+        let notice = ColdNotice { id, service: service.clone(), server: server.clone() };
+        let mut reported = lock(&self.cold_reported);
+        if reported.iter().all(|it| it.server != notice.server) {
+            reported.push(notice);
+            self.ask_now.notify_one();
+        }
+    }
+
+    pub(crate) fn take_cold_reports(&self) -> Vec<ColdNotice> {
+        std::mem::take(&mut *lock(&self.cold_reported))
+    }
+
+    /// Notes that another router found a server cold.
+    pub(crate) fn note_cold(&self, notice: &ColdNotice) {
+        let balancer = self.balancer(&notice.service);
+        lock(&balancer).note_cold(&notice.server, self.now());
+    }
+
     /// A server's name and address.
     pub(crate) fn server_peer(
         &self,
--- a/crates/router/src/table.rs
+++ b/crates/router/src/table.rs
@@ -3,11 +3,12 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use model::{
-    DomainName, KeyHash, ServiceName, ServiceSpec, SheetRevision, SliceId, SliceKey, WallTime,
+    DomainName, KeyHash, ServiceKind, ServiceName, ServiceSpec, SheetRevision, SliceId, SliceKey,
+    VmName, WallTime, hash_key,
 };
 use ownership::{HomesTable, RouterView};
-use policy::Candidate;
-use sheet::{PlanSheet, WorkState};
+use policy::{Candidate, RouterShare};
+use sheet::{PlanSheet, ServerRow, VmRow, WorkState};
 
 /// Everything needed to route a request, at one moment.
 #[derive(Debug, Clone, Default)]
@@ -59,3 +60,28 @@
     }
     candidates
 }
+
+/// The router that may send to a server first while the server is cold.
+pub(crate) fn first_sharer<'a>(sheet: &'a PlanSheet, server: &'a ServerRow) -> Option<&'a VmRow> {
+    let sharers = sheet.vms_of(&server.domain);
+    sharers.min_by_key(|it| share_order(server, &it.name))
+}
+
+fn share_order(server: &ServerRow, vm: &VmName) -> (KeyHash, VmName) {
+    (hash_key(&format!("{}@{vm}", server.name)), vm.clone())
+}
+
+/// This router's place among the routers that share a server: those of its domain for a keyed
+/// service, all for a shared one. All routers with the same sheet agree on the places.
+pub(crate) fn router_share(sheet: &PlanSheet, server: &ServerRow, own: &VmName) -> RouterShare {
+    let spec = sheet.services.get(&server.service);
+    let is_keyed = spec.is_some_and(|it| matches!(it.kind, ServiceKind::Keyed { .. }));
+    let sharers = sheet.vms.values().filter(|it| !is_keyed || it.domain == server.domain);
+    let own_order = share_order(server, own);
+    let mut share = RouterShare { rank: 0, n_routers: 0 };
+    for vm in sharers {
+        share.n_routers += 1;
+        share.rank += u32::from(share_order(server, &vm.name) < own_order);
+    }
+    share
+}
--- a/crates/router/src/traffic.rs
+++ b/crates/router/src/traffic.rs
@@ -23,6 +23,16 @@
     pub(crate) spec: Arc<ServiceSpec>,
     pub(crate) idempotency: Idempotency,
     pub(crate) deadline: MonoTime,
+    pub(crate) origin: RequestOrigin,
+}
+
+/// Where a request came from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RequestOrigin {
+    /// A caller sent it to this router.
+    Caller,
+    /// Another router forwarded it; it is not forwarded again.
+    Router,
 }
 
 impl RoutedRequest {
@@ -105,6 +115,7 @@
     let routed = RoutedRequest {
         idempotency: spec.idempotency(&request.method),
         deadline: started_at + limit,
+        origin: RequestOrigin::Caller,
         request: ServerRequest {
             id: request.id,
             service: spec.name.clone(),
--- a/crates/sheet/src/parse.rs
+++ b/crates/sheet/src/parse.rs
@@ -18,6 +18,7 @@
 const DEFAULT_SLOTS: u32 = 4;
 const DEFAULT_CONNECTIONS: u32 = 64;
 const DEFAULT_COLD_SLOTS: u32 = 1;
+const DEFAULT_WARM_MS: u64 = 2_000;
 const PRESENCE: &str = "in or out";
 
 /// One mistake in a sheet.
@@ -267,13 +268,15 @@
     let service = cells.name("service");
     let address = cells.parse("address", "IP:PORT");
     let state = cells.parse::<PresenceState>("state", PRESENCE);
-    let settings = cells.settings(&["slots", "connections", "cold-slots"]);
+    let settings = cells.settings(&["slots", "connections", "cold-slots", "warm-ms"]);
     let slots = settings.get(cells, "slots", "a number from 1", DEFAULT_SLOTS);
     let slots = slots.filter(|it| check_range(cells, "slots", *it, 1, 4_096));
     let connections = settings.get(cells, "connections", "a number from 1", DEFAULT_CONNECTIONS);
     let connections = connections.filter(|it| check_range(cells, "connections", *it, 1, 65_536));
     let cold_slots = settings.get(cells, "cold-slots", "a number from 1", DEFAULT_COLD_SLOTS);
     let cold_slots = cold_slots.filter(|it| check_range(cells, "cold-slots", *it, 1, 4_096));
+    let warm = settings.get(cells, "warm-ms", "0 to 600000", DEFAULT_WARM_MS);
+    let warm = warm.filter(|it| check_range(cells, "warm-ms", *it, 0, 600_000));
     Some(ServerRow {
         name: name?,
         domain: domain?,
@@ -283,6 +286,7 @@
         slots: slots?,
         connections: connections?,
         cold_slots: cold_slots?,
+        warm_after: Duration::from_millis(warm?),
     })
 }
 
--- a/crates/sheet/src/rows.rs
+++ b/crates/sheet/src/rows.rs
@@ -1,6 +1,6 @@
 //! Checked rows of the sheet and the questions that the product asks of them.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use model::{DomainName, ServerName, ServiceName, ServiceSpec, VmName, WallTime};
 use strum::{Display, EnumString};
@@ -69,6 +69,8 @@
     pub connections: u32,
     /// Requests that it bears at once, in sum over all routers, while cold.
     pub cold_slots: u32,
+    /// Time for which it is cold after its start.
+    pub warm_after: Duration,
 }
 
 /// What a planned stop stops.
--- a/crates/trial/src/deployment.rs
+++ b/crates/trial/src/deployment.rs
@@ -139,7 +139,7 @@
         }
         for it in &self.servers {
             text += &format!(
-                "server,{},{},{},{},{},,,slots={};connections={};cold-slots={}\n",
+                "server,{},{},{},{},{},,,slots={};connections={};cold-slots={};warm-ms={}\n",
                 it.name,
                 domain_name(it.domain),
                 it.load.name,
@@ -147,7 +147,8 @@
                 state(&it.name),
                 it.load.slots,
                 it.load.connections,
-                it.load.cold_slots
+                it.load.cold_slots,
+                it.load.warm_ms
             );
         }
         text
--- a/crates/trial/src/faults.rs
+++ b/crates/trial/src/faults.rs
@@ -10,7 +10,7 @@
 use rustix::process::Signal;
 
 use crate::{
-    backend_server::BackendServer,
+    backend_server::{BackendServer, TurnedCold},
     deployment::{Deployment, domain_name},
     gate::{CutBook, CutState, Gate, PLATFORM},
     nodes::{Node, NodeRole},
@@ -162,7 +162,7 @@
             world.server(target)?.0.faults.slow_percent.store(percent, Ordering::Relaxed);
         }
         FaultKind::ServerCold => {
-            world.server(target)?.0.faults.is_cold.store(true, Ordering::Relaxed);
+            world.server(target)?.0.turn_cold(Some(TurnedCold::default()));
         }
         FaultKind::ServerDrain | FaultKind::DomainOut => {
             world.change_sheet(target, SheetMove::Out).await?;
@@ -210,7 +210,7 @@
             world.server(target)?.0.faults.slow_percent.store(100, Ordering::Relaxed);
         }
         FaultKind::ServerCold => {
-            world.server(target)?.0.faults.is_cold.store(false, Ordering::Relaxed);
+            world.server(target)?.0.turn_cold(None);
         }
         FaultKind::ServerDrain | FaultKind::DomainOut => {
             world.change_sheet(target, SheetMove::Back).await?;
--- a/crates/trial/src/judge.rs
+++ b/crates/trial/src/judge.rs
@@ -77,8 +77,9 @@
         self.lock().arrivals.get(server).copied()
     }
 
-    pub(crate) fn note_cold_overload(&self) {
+    pub(crate) fn note_cold_overload(&self, server: &str) {
         self.lock().cold_overload += 1;
+        eprintln!("judge: {server} is cold and got more than it bears");
     }
 
     /// A server took effect for a request that it began at `began`.
--- a/crates/trial/src/scenario.rs
+++ b/crates/trial/src/scenario.rs
@@ -58,6 +58,9 @@
     pub(crate) connections: u32,
     #[serde(default = "default_cold_slots")]
     pub(crate) cold_slots: u32,
+    /// Time for which a server is cold after its start, in milliseconds.
+    #[serde(default = "default_warm")]
+    pub(crate) warm_ms: u64,
     /// Average time in a slot, in milliseconds.
     pub(crate) service_ms: f64,
     #[serde(default = "default_deadline")]
@@ -169,6 +172,10 @@
     1
 }
 
+fn default_warm() -> u64 {
+    2_000
+}
+
 fn default_deadline() -> u64 {
     1_000
 }
