workspace: test each crate at its boundary

Cause: only ownership had tests. Change: sheet errors and diffs, slices and tokens, budgets, warm-up sums, admission, lease settings, applying sheets with races and lost replies, whole and crossed answers, peer streams, the callers' edge.

--- /dev/null
+++ b/crates/model/tests/it/main.rs
@@ -0,0 +1,65 @@
+//! Tests of the model crate at its boundary.
+
+#![allow(missing_docs, clippy::unwrap_used)]
+
+use expect_test::expect;
+use model::{FencingToken, KeyHash, MapVersion, RequestId, ServerName, SliceId, Term, hash_key};
+use proptest::prelude::*;
+
+#[test]
+fn the_hash_of_a_key_never_changes() {
+    // Homes and maps in the store are written in terms of these hashes.
+    let hashes = ["", "easel-1", "trolley/7"].map(|it| format!("{:x}", hash_key(it).0));
+    expect!["2d06800538d394c2 994277583bf3ea93 6c07e8386dca550d"].assert_eq(&hashes.join(" "));
+}
+
+#[test]
+fn tokens_grow_by_epoch_then_term_then_version() {
+    let token = |epoch, term, version| FencingToken {
+        epoch,
+        term: Term(term),
+        version: MapVersion(version),
+    };
+    assert!(token(1, 9, 9) < token(2, 1, 1));
+    assert!(token(2, 1, 9) < token(2, 2, 1));
+    assert!(token(2, 2, 1) < token(2, 2, 2));
+}
+
+#[test]
+fn names_are_checked() {
+    for bad in ["", "A", "a b", "ä", &"x".repeat(64)] {
+        assert!(ServerName::try_from(bad).is_err(), "{bad}");
+    }
+    assert!(ServerName::try_from("queue-1").is_ok());
+}
+
+#[test]
+fn request_ids_are_checked() {
+    for bad in ["", "a b", &"x".repeat(129)] {
+        assert!(RequestId::try_from(bad.to_owned()).is_err(), "{bad}");
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(5),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn each_hash_lies_in_exactly_one_slice(hash in any::<u64>(), bits in 0..9u8) {
+        let hash = KeyHash(hash);
+        let n_slices = SliceId::all(bits).filter(|it| it.contains(hash)).count();
+        prop_assert_eq!(n_slices, 1);
+        prop_assert!(SliceId::covering(hash, bits).contains(hash));
+    }
+
+    #[test]
+    fn slices_and_tokens_survive_their_text(hash in any::<u64>(), bits in 0..65u8, n in any::<u64>()) {
+        let slice = SliceId::covering(KeyHash(hash), bits);
+        prop_assert_eq!(slice.to_string().parse::<SliceId>().unwrap(), slice);
+        let token = FencingToken { epoch: n, term: Term(n / 2), version: MapVersion(n / 3) };
+        prop_assert_eq!(token.to_string().parse::<FencingToken>().unwrap(), token);
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/it/balancer.rs
@@ -0,0 +1,94 @@
+//! Choosing among servers.
+
+use std::time::Duration;
+
+use model::{NotRunReason, ServerName};
+use policy::{
+    AdmissionLimits, BalancerPolicy, CallResult, Candidate, ServerView, ServiceBalancer, admit,
+};
+
+use crate::{at, profile};
+
+fn name(idx: usize) -> ServerName {
+    ServerName::try_from(format!("s{idx}").as_str()).unwrap()
+}
+
+fn candidates(n_servers: usize) -> Vec<Candidate> {
+    (0..n_servers).map(|it| Candidate { name: name(it), is_local: true }).collect()
+}
+
+fn balancer(policy: BalancerPolicy, n_servers: usize) -> ServiceBalancer {
+    let mut balancer = ServiceBalancer::new(policy, 3);
+    balancer.set_servers((0..n_servers).map(|it| (name(it), profile())));
+    balancer
+}
+
+#[test]
+fn an_overdue_call_keeps_new_work_away_before_it_ends() {
+    let mut balancer = balancer(BalancerPolicy::Adaptive, 2);
+    let candidates = candidates(2);
+    for idx in 0..2 {
+        let call = balancer.begin_first(&name(idx), at(0)).unwrap();
+        balancer.finish(&name(idx), call, CallResult::Answered, None, at(5));
+    }
+    balancer.begin_first(&name(0), at(10));
+    let chosen: Vec<ServerName> =
+        (0..20).filter_map(|_| balancer.choose(&candidates, &[], at(60))).collect();
+    assert!(chosen.iter().all(|it| *it == name(1)), "{chosen:?}");
+}
+
+#[test]
+fn every_policy_chooses_only_untried_servers() {
+    use BalancerPolicy::{Adaptive, LeastInFlight, PowerOfTwo, Random, RoundRobin};
+    for policy in [Adaptive, LeastInFlight, PowerOfTwo, Random, RoundRobin] {
+        let mut balancer = balancer(policy, 3);
+        let tried = [name(0), name(2)];
+        assert_eq!(balancer.choose(&candidates(3), &tried, at(0)), Some(name(1)), "{policy}");
+        assert_eq!(balancer.choose(&[], &[], at(0)), None, "{policy}");
+    }
+}
+
+#[test]
+fn round_robin_takes_turns() {
+    let mut balancer = balancer(BalancerPolicy::RoundRobin, 3);
+    let mut chosen: Vec<ServerName> =
+        (0..3).filter_map(|_| balancer.choose(&candidates(3), &[], at(0))).collect();
+    chosen.sort();
+    assert_eq!(chosen, [name(0), name(1), name(2)]);
+}
+
+#[test]
+fn a_failed_server_rests() {
+    let mut balancer = balancer(BalancerPolicy::Adaptive, 2);
+    let call = balancer.begin_first(&name(0), at(0)).unwrap();
+    balancer.finish(&name(0), call, CallResult::Shed, None, at(1));
+    for _ in 0..20 {
+        assert_eq!(balancer.choose(&candidates(2), &[], at(20)), Some(name(1)));
+    }
+}
+
+#[test]
+fn work_that_could_not_end_in_time_is_refused() {
+    let mut view = ServerView::new(profile());
+    let call = view.begin(at(0));
+    view.finish(call, CallResult::Answered, None, at(100));
+    for _ in 0..8 {
+        view.begin(at(100));
+    }
+    let limits = AdmissionLimits { n_routers: 1 };
+    let admitted = |ms| admit(&view, limits, 0.1, Duration::from_millis(ms), at(101));
+    assert_eq!(admitted(1_000), Ok(()));
+    assert_eq!(admitted(150), Err(NotRunReason::Overloaded));
+    assert_eq!(admitted(0), Err(NotRunReason::DeadlinePassed));
+}
+
+#[test]
+fn a_router_uses_no_more_than_its_share_of_connections() {
+    let mut view = ServerView::new(profile());
+    for _ in 0..16 {
+        view.begin(at(0));
+    }
+    let limits = AdmissionLimits { n_routers: 4 };
+    let res = admit(&view, limits, 0.001, Duration::from_secs(1), at(0));
+    assert_eq!(res, Err(NotRunReason::Overloaded));
+}
--- /dev/null
+++ b/crates/policy/tests/it/main.rs
@@ -0,0 +1,25 @@
+//! Tests of the policy crate at its boundary.
+
+#![allow(missing_docs, clippy::unwrap_used)]
+
+mod balancer;
+mod budget;
+mod warmup;
+
+use std::time::Duration;
+
+use model::MonoTime;
+use policy::{ColdProfile, RouterShare, ServerProfile};
+
+fn at(ms: u64) -> MonoTime {
+    MonoTime::from_millis(ms)
+}
+
+fn profile() -> ServerProfile {
+    ServerProfile {
+        slots: 4,
+        connections: 64,
+        cold: ColdProfile { cold_slots: 1, slots: 4, warm_after: Duration::from_secs(2) },
+        share: RouterShare { rank: 0, n_routers: 1 },
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/it/warmup.rs
@@ -0,0 +1,77 @@
+//! A cold server's ceiling holds in sum over all routers.
+
+use std::time::Duration;
+
+use policy::{CallResult, ColdProfile, RouterShare, ServerView, WarmupState};
+use proptest::prelude::*;
+
+use crate::{at, profile};
+
+fn sum_of_allowances(profile: ColdProfile, n_routers: u32, age_ms: u64) -> u32 {
+    let state = WarmupState::Warming { since: at(0) };
+    (0..n_routers)
+        .filter_map(|rank| state.allowance(profile, RouterShare { rank, n_routers }, at(age_ms)))
+        .sum()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(6),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn shares_add_up_to_the_total(total in 0..500u32, n_routers in 1..40u32) {
+        let sum: u32 = (0..n_routers).map(|rank| RouterShare { rank, n_routers }.of(total)).sum();
+        prop_assert_eq!(sum, total);
+    }
+
+    #[test]
+    fn a_cold_server_gets_no_more_than_its_cold_slots(
+        cold_slots in 1..5u32,
+        n_routers in 1..40u32,
+        age_ms in 0..2_000u64,
+    ) {
+        let profile = ColdProfile { cold_slots, slots: 8, warm_after: Duration::from_secs(2) };
+        prop_assert_eq!(sum_of_allowances(profile, n_routers, age_ms), cold_slots);
+    }
+
+    #[test]
+    fn the_ramp_never_passes_the_warm_slots(n_routers in 1..40u32, age_ms in 2_000..4_000u64) {
+        let profile = ColdProfile { cold_slots: 1, slots: 8, warm_after: Duration::from_secs(2) };
+        let sum = sum_of_allowances(profile, n_routers, age_ms);
+        prop_assert!((1..=8).contains(&sum), "{}", sum);
+    }
+}
+
+#[test]
+fn a_refused_server_gets_nothing_until_a_probe_finds_it() {
+    let mut view = ServerView::new(profile());
+    let call = view.begin(at(0));
+    view.finish(call, CallResult::Refused, None, at(1));
+    assert!(view.is_lost());
+    assert!(!view.has_room(at(60_000)));
+    view.note_alive(at(60_000));
+    assert!(view.has_room(at(60_001)));
+}
+
+#[test]
+fn a_returned_server_is_held_to_its_cold_slots_and_then_warms() {
+    let mut view = ServerView::new(profile());
+    let call = view.begin(at(0));
+    view.finish(call, CallResult::Failed, None, at(1));
+    view.note_alive(at(10));
+    view.begin(at(20));
+    assert!(!view.has_room(at(1_000)));
+    assert!(view.has_room(at(3_900)));
+}
+
+#[test]
+fn a_warm_server_that_says_cold_falls_back_at_once() {
+    let mut view = ServerView::new(profile());
+    let calls = [view.begin(at(0)), view.begin(at(0)), view.begin(at(0))];
+    assert!(view.has_room(at(1)));
+    view.finish(calls[0], CallResult::Cold, None, at(2));
+    assert!(!view.has_room(at(2)));
+}
