--- a/crates/jackdawctl/src/dump.rs
+++ b/crates/jackdawctl/src/dump.rs
@@ -6,7 +6,7 @@
 use eyre::WrapErr;
 use operator::fetch_dump;
 use platform::{HttpStore, PlatformStore, SHEET_KEY, SheetRecord};
-use sheet::PlanSheet;
+use sheet::{PlanSheet, VmRow};
 
 use crate::settings_file::CtlSettings;
 
@@ -39,5 +39,6 @@
     let value = store.get(SHEET_KEY).await?.ok_or_else(|| eyre::eyre!("no sheet is in force"))?;
     let record: SheetRecord = serde_json::from_str(&value.value)?;
     let sheet = PlanSheet::try_from(record.text.as_str())?;
-    Ok(sheet.vms.values().filter_map(|it| it.operator).collect())
+    let operators = |it: &VmRow| it.operator.into_iter().chain(it.planner_operator);
+    Ok(sheet.vms.values().flat_map(operators).collect())
 }
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -13,7 +13,7 @@
 pub use error::{InvalidValue, StepError};
 pub use names::{DomainName, ServerName, ServiceName, VmName};
 pub use request::{CallOutcome, Idempotency, NotRunReason, RequestId, UnknownReason};
-pub use service::{IsolationMode, OwnerCheck, ServiceKind, ServiceSpec};
+pub use service::{OwnerCheck, ServiceKind, ServiceSpec};
 pub use slice::{KeyHash, SliceId, SliceKey, hash_key};
 pub use time::{MonoTime, WallTime};
 pub use token::{FencingToken, Incarnation, MapVersion, SheetRevision, Term};
--- a/crates/model/src/request.rs
+++ b/crates/model/src/request.rs
@@ -120,3 +120,15 @@
     /// It may have run.
     Unknown(UnknownReason),
 }
+
+impl CallOutcome {
+    /// What is known of a request that ended with `self` after an earlier send ended with
+    /// `earlier`. Once it may have run, nothing that follows makes that certain again.
+    #[must_use]
+    pub fn after(self, earlier: Self) -> Self {
+        match (earlier, self) {
+            (Self::Unknown(_), Self::NotRun(_)) => earlier,
+            _ => self,
+        }
+    }
+}
--- a/crates/model/tests/it/main.rs
+++ b/crates/model/tests/it/main.rs
@@ -3,7 +3,10 @@
 #![allow(missing_docs, clippy::unwrap_used)]
 
 use expect_test::expect;
-use model::{FencingToken, KeyHash, MapVersion, RequestId, ServerName, SliceId, Term, hash_key};
+use model::{
+    CallOutcome, FencingToken, KeyHash, MapVersion, NotRunReason, RequestId, ServerName, SliceId,
+    Term, UnknownReason, hash_key,
+};
 use proptest::prelude::*;
 
 #[test]
@@ -25,6 +28,15 @@
     assert!(token(2, 2, 1) < token(2, 2, 2));
 }
 
+#[test]
+fn a_later_refusal_does_not_undo_an_earlier_send() {
+    let unknown = CallOutcome::Unknown(UnknownReason::ConnectionLost);
+    let not_run = CallOutcome::NotRun(NotRunReason::ConnectFailed);
+    assert_eq!(not_run.after(unknown), unknown);
+    assert_eq!(unknown.after(not_run), unknown);
+    assert_eq!(not_run.after(not_run), not_run);
+}
+
 #[test]
 fn names_are_checked() {
     for bad in ["", "A", "a b", "ä", &"x".repeat(64)] {
--- a/crates/ownership/src/placement.rs
+++ b/crates/ownership/src/placement.rs
@@ -25,6 +25,8 @@
     pub eligible: &'a BTreeMap<ServiceName, Vec<ServerName>>,
     /// Recent load of each slice; slices without a figure count as idle.
     pub loads: &'a SliceLoad,
+    /// Most slices that a server which is still warming up may own.
+    pub warming_caps: &'a BTreeMap<ServerName, usize>,
     /// Most slices that may move only to even out load.
     pub balance_budget: usize,
 }
@@ -43,10 +45,11 @@
     let mut owners = BTreeMap::new();
     let mut budget = input.balance_budget;
     for (service, servers) in input.eligible.iter().filter(|(_, it)| !it.is_empty()) {
-        let mut place = ServicePlacement::new(servers);
+        let mut place = ServicePlacement::new(servers, input.warming_caps);
         let slices = input.slices.iter().filter(|it| it.service == *service);
+        let accepted: BTreeSet<&ServerName> = servers.iter().collect();
         let (kept, homeless): (Vec<_>, Vec<_>) = slices
-            .partition(|it| current_owner(input.map, it).is_some_and(|o| servers.contains(o)));
+            .partition(|it| current_owner(input.map, it).is_some_and(|o| accepted.contains(o)));
         for key in kept {
             if let Some(owner) = current_owner(input.map, key) {
                 place.give(key, owner, weight(input, key));
@@ -80,33 +83,42 @@
 struct ServicePlacement<'a> {
     held: BTreeMap<&'a ServerName, Vec<(SliceKey, f64)>>,
     loads: BTreeMap<&'a ServerName, f64>,
+    caps: &'a BTreeMap<ServerName, usize>,
 }
 
 impl<'a> ServicePlacement<'a> {
-    fn new(servers: &'a [ServerName]) -> Self {
+    fn new(servers: &'a [ServerName], caps: &'a BTreeMap<ServerName, usize>) -> Self {
         Self {
+            caps,
             held: servers.iter().map(|it| (it, Vec::new())).collect(),
             loads: servers.iter().map(|it| (it, 0.0)).collect(),
         }
     }
 
     fn give(&mut self, key: &SliceKey, owner: &ServerName, weight: f64) {
-        if let Some((_, held)) = self.held.iter_mut().find(|(it, _)| **it == owner) {
+        if let Some(held) = self.held.get_mut(owner) {
             held.push((key.clone(), weight));
         }
-        if let Some((_, load)) = self.loads.iter_mut().find(|(it, _)| **it == owner) {
+        if let Some(load) = self.loads.get_mut(owner) {
             *load += weight;
         }
     }
 
     fn give_to_lightest(&mut self, key: &SliceKey, weight: f64) {
-        if let Some(server) = self.lightest() {
+        // A slice without an owner is worse than a server that warms up under some load.
+        if let Some(server) = self.lightest(Some(self.caps)).or_else(|| self.lightest(None)) {
             self.give(key, server, weight);
         }
     }
 
-    fn lightest(&self) -> Option<&'a ServerName> {
-        self.loads.iter().min_by(|a, b| a.1.total_cmp(b.1)).map(|(it, _)| *it)
+    /// The least loaded server that may own one more slice; with `None`, any server.
+    fn lightest(&self, within: Option<&BTreeMap<ServerName, usize>>) -> Option<&'a ServerName> {
+        let has_room = |it: &ServerName| {
+            let cap = within.and_then(|caps| caps.get(it));
+            cap.is_none_or(|cap| self.held[it].len() < *cap)
+        };
+        let open = self.loads.iter().filter(|(it, _)| has_room(it));
+        open.min_by(|a, b| a.1.total_cmp(b.1)).map(|(it, _)| *it)
     }
 
     fn heaviest(&self) -> Option<&'a ServerName> {
@@ -115,7 +127,7 @@
 
     /// Moves one slice from the heaviest to the lightest server when that pays.
     fn even_out(&mut self) -> bool {
-        let (Some(from), Some(to)) = (self.heaviest(), self.lightest()) else {
+        let (Some(from), Some(to)) = (self.heaviest(), self.lightest(Some(self.caps))) else {
             return false;
         };
         let (high, low) = (self.loads[from], self.loads[to]);
--- a/crates/ownership/src/planner/acting.rs
+++ b/crates/ownership/src/planner/acting.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use model::{DomainName, MapVersion, MonoTime, ServerName, SliceKey, Term, VmName};
+use model::{DomainName, MapVersion, MonoTime, ServerName, SliceKey, Term, VmName, WallTime};
 
 use super::{
     ActingDump, NextRole, PlannerAction, PlannerContext, PlannerEvent, PlannerRole,
@@ -65,6 +65,13 @@
     pub(super) loads: BTreeMap<SliceKey, f64>,
     started_at: MonoTime,
     polled_at: MonoTime,
+    /// Open slices of `map`.
+    n_open: usize,
+    /// Open slices of `published`.
+    pub(super) n_published_open: usize,
+    /// Whether something has happened for which owners or homes may have to change.
+    pub(super) is_plan_due: bool,
+    planned_at: WallTime,
     /// Newest version that was ever proposed in this term.
     pub(super) last_version: MapVersion,
 }
@@ -84,6 +91,10 @@
     fn new(map: Arc<DomainMap>, is_saved: bool, until: MonoTime, now: MonoTime) -> Self {
         Self {
             last_version: map.stamp.version,
+            n_open: map.open_count(),
+            n_published_open: 0,
+            is_plan_due: true,
+            planned_at: WallTime::default(),
             polled_at: now,
             map,
             published: None,
@@ -142,13 +153,20 @@
     /// Replaces the newest map; heartbeats carry it from now on.
     pub(super) fn adopt(&mut self, mut map: DomainMap) {
         map.merge_phases(&self.map);
-        self.map = Arc::new(map);
+        self.set_map(map);
+        self.is_plan_due = true;
         self.heartbeat_at = None;
         for entry in self.witnesses.values_mut() {
             entry.sent_at = None;
         }
     }
 
+    /// Replaces the newest map, of which only phases may have changed.
+    pub(super) fn set_map(&mut self, map: DomainMap) {
+        self.n_open = map.open_count();
+        self.map = Arc::new(map);
+    }
+
     pub(super) fn dump(&self, timing: &LeaseTiming, now: MonoTime) -> ActingDump {
         let owners = self.map.entries.iter().map(|(key, it)| {
             let owner = it.owner.as_ref().map_or_else(|| "none".to_owned(), |o| o.to_string());
@@ -178,6 +196,9 @@
     ctx: &mut PlannerContext<'_>,
     actions: &mut Vec<PlannerAction>,
 ) -> NextRole {
+    if matches!(event, PlannerEvent::SheetLearned(_) | PlannerEvent::HomesLearned(_)) {
+        state.is_plan_due = true;
+    }
     let next = match event {
         PlannerEvent::AcceptAnswered { from, asked_at, stamp, answer } => {
             take_accept(state, from, *asked_at, *stamp, answer.as_ref(), ctx, actions)
@@ -187,6 +208,7 @@
         }
         PlannerEvent::HomesWritten(_) => {
             ctx.record.observe(event, None, ctx.now);
+            state.is_plan_due = true;
             if matches!(event, PlannerEvent::HomesWritten(Some(_))) {
                 state.homes_written_at = None;
             }
@@ -217,7 +239,10 @@
         return lost_authority(state, ctx, actions);
     }
     proposal::advance(state, ctx, actions);
-    if is_tick {
+    // States of servers that last for a while, and planned stops, are looked at every second.
+    if is_tick && (state.is_plan_due || state.planned_at != ctx.wall) {
+        state.is_plan_due = false;
+        state.planned_at = ctx.wall;
         proposal::propose(state, ctx, actions);
     }
     handover::advance(state, ctx);
@@ -268,7 +293,7 @@
     }
     state.heartbeat_at = Some(ctx.now);
     let stamp = state.map.stamp;
-    let n_open = state.map.open_count();
+    let n_open = state.n_open;
     for witness in state.map.all_witnesses() {
         let entry = state.witnesses.entry(witness.clone()).or_default();
         let is_waiting = entry.sent_at.is_some_and(|it| ctx.now.since(it) < HEARTBEAT_TIMEOUT);
@@ -355,13 +380,15 @@
     let is_accepted = state
         .map
         .has_quorum(|it| state.witnesses.get(it).is_some_and(|entry| entry.stamp >= stamp));
-    let is_news = state.published.as_ref().is_none_or(|it| **it != *state.map);
+    let is_news = state.published.as_ref().is_none_or(|it| !Arc::ptr_eq(it, &state.map));
     if !is_accepted || !is_news {
         return;
     }
     if !state.is_committed() {
         handover::begin(state);
+        state.is_plan_due = true;
     }
+    state.n_published_open = state.n_open;
     state.published = Some(state.map.clone());
     actions.push(PlannerAction::Publish(state.map.clone()));
 }
--- a/crates/ownership/src/planner/grants.rs
+++ b/crates/ownership/src/planner/grants.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use model::{FencingToken, MonoTime, OwnerCheck, ServerName, ServiceKind, SliceKey};
+use model::{FencingToken, MonoTime, OwnerCheck, ServerName, ServiceKind, SliceKey, Term};
 
 use super::{
     NextRole, PlannerAction, PlannerContext, PlannerRole, acting::ActingState,
@@ -131,6 +131,17 @@
         })
     }
 
+    /// Whether the server came back less than `warm_after` ago.
+    pub(super) fn is_warming(
+        &self,
+        server: &ServerName,
+        warm_after: Duration,
+        now: MonoTime,
+    ) -> bool {
+        let entry = self.servers.get(server);
+        entry.is_some_and(|it| it.was_lost && now.since(it.alive_since) < warm_after)
+    }
+
     /// Whether the server may keep the slices it owns.
     pub(super) fn may_keep(&self, server: &ServerName) -> bool {
         matches!(self.server_state(server), ServerState::Alive | ServerState::Unknown)
@@ -196,6 +207,20 @@
     ctx: &mut PlannerContext<'_>,
 ) -> NextRole {
     let term = state.term();
+    let was = state.server_state(server);
+    let next = take_server_answer(state, server, sent_at, answer, term, ctx);
+    state.is_plan_due |= state.server_state(server) != was;
+    next
+}
+
+fn take_server_answer(
+    state: &mut ActingState,
+    server: &ServerName,
+    sent_at: MonoTime,
+    answer: &GrantAnswer,
+    term: Term,
+    ctx: &mut PlannerContext<'_>,
+) -> NextRole {
     let entry = state.servers.get_mut(server)?;
     if entry.sent_at == Some(sent_at) {
         entry.sent_at = None;
@@ -270,7 +295,7 @@
 
 fn next_order(
     entry: &mut ServerEntry,
-    term: model::Term,
+    term: Term,
     longest: Duration,
     authority_end: MonoTime,
 ) -> GrantOrder {
@@ -326,6 +351,7 @@
         let is_silent = ctx.now.since(heard_at) >= ctx.identity.timing.server_silence;
         if is_silent && matches!(entry.state, ServerState::Alive | ServerState::Unknown) {
             entry.lose(ServerState::Silent);
+            state.is_plan_due = true;
         }
     }
 }
--- a/crates/ownership/src/planner/handover.rs
+++ b/crates/ownership/src/planner/handover.rs
@@ -3,7 +3,7 @@
 //! The steps can only be taken in order: routers confirm the map and finish old work, previous
 //! owners give the slice up or lose their lease, the next owner holds its grant, the slice opens.
 
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
 use model::{FencingToken, MonoTime, OwnerCheck, ServerName, ServiceKind, SliceKey};
 use smallvec::SmallVec;
@@ -87,6 +87,9 @@
 
 /// Takes every step whose condition holds now.
 pub(super) fn advance(state: &mut ActingState, ctx: &PlannerContext<'_>) {
+    if state.handovers.is_empty() {
+        return;
+    }
     let map = state.map.clone();
     let mut handovers = std::mem::take(&mut state.handovers);
     let mut opened: SmallVec<[SliceKey; 8]> = SmallVec::new();
@@ -265,7 +268,7 @@
             entry.phase = SlicePhase::Open;
         }
     }
-    state.map = Arc::new(map);
+    state.set_map(map);
 }
 
 /// Earlier owners of a slice whose next owner is `next`.
--- a/crates/ownership/src/planner/leases.rs
+++ b/crates/ownership/src/planner/leases.rs
@@ -79,7 +79,7 @@
     entry.drained = entry.drained.max(ask.drained);
     match ask.held {
         held if held > map.stamp => LeaseAnswer::NotActing { planner: None },
-        held if held < map.stamp || (ask.held_open as usize) < map.open_count() => {
+        held if held < map.stamp || (ask.held_open as usize) < state.n_published_open => {
             LeaseAnswer::Behind { map }
         }
         held => {
--- a/crates/ownership/src/planner/proposal.rs
+++ b/crates/ownership/src/planner/proposal.rs
@@ -101,7 +101,9 @@
     adopt_unsaved(state, ctx);
     drop_overdue(state, ctx);
     save(state, ctx, actions);
-    write_homes(state, ctx, actions);
+    if !state.vacated.is_empty() {
+        write_homes(state, ctx, actions);
+    }
 }
 
 /// While the store is out of reach, the witnesses' majority makes a change durable instead.
@@ -149,7 +151,9 @@
     ctx: &mut PlannerContext<'_>,
     actions: &mut Vec<PlannerAction>,
 ) {
+    write_homes(state, ctx, actions);
     if state.proposal.is_some() || !state.is_committed() {
+        // Looked at again as soon as the map under way is in force.
         return;
     }
     let mut next = DomainMap::clone(&state.map);
@@ -222,6 +226,14 @@
     doc.sheet.services.keys().filter(|it| is_settled && !has_live(it)).cloned().collect()
 }
 
+/// Slices that each server may own which came back so lately that it is still warming up.
+fn warming_caps(state: &ActingState, ctx: &PlannerContext<'_>) -> BTreeMap<ServerName, usize> {
+    let rows = ctx.sheet.into_iter().flat_map(|it| it.sheet.servers.values());
+    rows.filter(|it| state.is_warming(&it.name, it.warm_after * 2, ctx.now))
+        .map(|it| (it.name.clone(), it.cold_slots as usize))
+        .collect()
+}
+
 /// Whether slices may move now only to even out load.
 fn may_balance(state: &ActingState, ctx: &PlannerContext<'_>) -> bool {
     ctx.now.since(state.balanced_at) >= BALANCE_INTERVAL
@@ -244,6 +256,7 @@
         slices: &slices,
         eligible: &eligible_servers(state, ctx),
         loads: &state.loads,
+        warming_caps: &warming_caps(state, ctx),
         balance_budget: if is_balancing { BALANCE_BUDGET } else { 0 },
     };
     let owners = place_slices(&input);
--- a/crates/ownership/tests/it/invariants.rs
+++ b/crates/ownership/tests/it/invariants.rs
@@ -18,6 +18,7 @@
         (vm.clone(), ms.clone()).prop_map(|(a, b)| Trouble::PausePlanner(a, b)),
         vm.clone().prop_map(Trouble::KillPlanner),
         (vm.clone(), ms.clone()).prop_map(|(a, b)| Trouble::CutPlanner(a, b)),
+        (vm.clone(), ms.clone()).prop_map(|(a, b)| Trouble::CutVm(a, b)),
         (vm, ms.clone()).prop_map(|(a, b)| Trouble::PauseRouter(a, b)),
         (server.clone(), ms.clone()).prop_map(|(a, b)| Trouble::FreezeServer(a, b)),
         (server.clone(), ms.clone()).prop_map(|(a, b)| Trouble::KillServer(a, b)),
@@ -126,3 +127,12 @@
         check(OwnerCheck::None, 2, 8_647_877_920_785_287_436, &troubles);
     }
 }
+
+#[test]
+fn a_planner_that_is_cut_off_leases_no_longer_than_its_authority() {
+    for seed in 0..24 {
+        let troubles = [(600, Trouble::CutVm(0, 3_000)), (10, Trouble::KillServer(1, 9_000))];
+        check(OwnerCheck::Token, 3, seed, &troubles);
+        check(OwnerCheck::None, 3, seed, &troubles);
+    }
+}
--- a/crates/ownership/tests/it/placement.rs
+++ b/crates/ownership/tests/it/placement.rs
@@ -26,6 +26,19 @@
 
 /// Places eight slices, of which slice i belongs to `owners[i]` and has `loads[i]`.
 fn check(owners: [&str; 8], loads: [f64; 8], eligible: &[&str], budget: usize, expect: Expect) {
+    check_capped(owners, loads, eligible, budget, &[], expect);
+}
+
+/// As [`check`], while the `caps` bound the slices of warming servers.
+fn check_capped(
+    owners: [&str; 8],
+    loads: [f64; 8],
+    eligible: &[&str],
+    budget: usize,
+    caps: &[(&str, usize)],
+    expect: Expect,
+) {
+    let caps = caps.iter().map(|(it, cap)| (server(it), *cap)).collect();
     let slices: Vec<SliceKey> = SliceId::all(3).map(key).collect();
     let planner = VmId { name: VmName::try_from("a").unwrap(), incarnation: Incarnation(1) };
     let entry = |owner: &str| OwnerEntry {
@@ -48,6 +61,7 @@
         slices: &slices.iter().cloned().collect::<BTreeSet<_>>(),
         eligible: &eligible,
         loads: &slices.iter().cloned().zip(loads).collect(),
+        warming_caps: &caps,
         balance_budget: budget,
     });
     let names: Vec<&str> =
@@ -85,6 +99,16 @@
     check(owners, loads, &["x", "y"], 4, expect!["x y y y y y y y"]);
 }
 
+#[test]
+fn a_warming_server_is_given_no_more_than_its_cap() {
+    check_capped(["x"; 8], IDLE, &["x", "y"], 4, &[("y", 1)], expect!["y x x x x x x x"]);
+}
+
+#[test]
+fn slices_without_an_owner_go_to_warming_servers_when_there_are_no_others() {
+    check_capped(["-"; 8], IDLE, &["y"], 0, &[("y", 1)], expect!["y y y y y y y y"]);
+}
+
 const SHEET: &str = "kind,name,domain,service,address,state,from,until,settings
 domain,d0,,,,in,,,
 domain,d1,,,,D1,,,
--- a/crates/ownership/tests/it/sim.rs
+++ b/crates/ownership/tests/it/sim.rs
@@ -33,6 +33,8 @@
     PausePlanner(usize, u64),
     KillPlanner(usize),
     CutPlanner(usize, u64),
+    /// Cuts planner and router of a VM off from the other VMs and the store.
+    CutVm(usize, u64),
     PauseRouter(usize, u64),
     FreezeServer(usize, u64),
     KillServer(usize, u64),
@@ -61,6 +63,7 @@
     incarnation: Incarnation,
     paused_until: MonoTime,
     cut_until: MonoTime,
+    router_cut_until: MonoTime,
     published: Option<Arc<DomainMap>>,
 }
 
@@ -179,6 +182,7 @@
             incarnation,
             paused_until: self.now,
             cut_until: self.now,
+            router_cut_until: self.now,
             published: None,
         }
     }
@@ -220,6 +224,11 @@
         match trouble {
             Trouble::PausePlanner(idx, ms) => self.planner(*idx).paused_until = after(ms),
             Trouble::CutPlanner(idx, ms) => self.planner(*idx).cut_until = after(ms),
+            Trouble::CutVm(idx, ms) => {
+                let planner = self.planner(*idx);
+                planner.cut_until = after(ms);
+                planner.router_cut_until = after(ms);
+            }
             Trouble::KillPlanner(idx) => {
                 let idx = idx % self.planners.len();
                 self.planners[idx] = self.fresh_planner(idx);
@@ -400,6 +409,20 @@
         a != b && (self.planners[a].cut_until > self.now || self.planners[b].cut_until > self.now)
     }
 
+    fn is_router_cut(&self, router: usize, planner: usize) -> bool {
+        let is_cut = |it: usize| self.planners[it].router_cut_until > self.now;
+        router != planner && (is_cut(router) || is_cut(planner))
+    }
+
+    fn is_store_cut(&self, planner: usize) -> bool {
+        self.planners[planner].router_cut_until > self.now
+    }
+
+    fn fail_later(&mut self, planner: usize, event: PlannerEvent) {
+        let incarnation = self.planners[planner].incarnation;
+        self.deliver_after(CALL_TIMEOUT, Delivery::Event(planner, incarnation, event));
+    }
+
     fn deliver(&mut self, delivery: Delivery) {
         let now = self.now;
         match delivery {
@@ -425,6 +448,16 @@
                     self.feed_later(from, event);
                 }
             }
+            Delivery::Read(from) if self.is_store_cut(from) => {
+                self.fail_later(from, PlannerEvent::RecordRead(None));
+            }
+            Delivery::Write { from, map, .. } if self.is_store_cut(from) => {
+                let (stamp, outcome) = (map.stamp, WriteOutcome::Unknown);
+                self.fail_later(from, PlannerEvent::RecordWritten { stamp, outcome });
+            }
+            Delivery::WriteHomes { from, .. } if self.is_store_cut(from) => {
+                self.fail_later(from, PlannerEvent::HomesWritten(None));
+            }
             Delivery::Read(from) => {
                 let record = StoredRecord {
                     map: self.store.record.as_ref().map(|it| it.0.clone()),
@@ -464,6 +497,8 @@
                     PlannerEvent::ServerAnswered { server: server_name(server), sent_at, answer };
                 self.feed_later(from, event);
             }
+            Delivery::Lease { router, to, .. } if self.is_router_cut(router, to) => (),
+            Delivery::Leased { router, from, .. } if self.is_router_cut(router, from) => (),
             Delivery::Lease { router, to, number, ask } => {
                 let answer = self.planners[to].planner.answer_lease(&ask, now);
                 self.send(Delivery::Leased { router, from: to, number, answer });
--- a/crates/platform/src/records.rs
+++ b/crates/platform/src/records.rs
@@ -54,6 +54,10 @@
             None => ApplyOutcome::Superseded(Box::new(empty_record())),
         };
     }
+    if let Some((held, _)) = &expected {
+        // Whoever applied it may have lost the reply and looks for it in the history.
+        let _ = store.put(&sheet_history_key(held.revision), None, encode(held)).await;
+    }
     let value = encode(&record);
     match store.put(SHEET_KEY, expected.map(|(_, revision)| revision), value).await {
         Ok(_) => accepted(store, &record).await,
--- a/crates/router/src/forward.rs
+++ b/crates/router/src/forward.rs
@@ -82,14 +82,14 @@
             Ok(Err(_)) => CallOutcome::Unknown(UnknownReason::ConnectionLost),
             Err(_) => CallOutcome::Unknown(UnknownReason::DeadlinePassed),
         };
-        last = outcome;
+        last = outcome.after(last);
         let may_go_on = match outcome {
             CallOutcome::NotRun(NotRunReason::Leaving | NotRunReason::NoLease) => true,
             CallOutcome::NotRun(_) => false,
             CallOutcome::Unknown(_) => routed.idempotency == Idempotency::Idempotent,
         };
         if !may_go_on {
-            return Err(outcome);
+            return Err(last);
         }
     }
     Err(last)
--- a/crates/router/src/keyed.rs
+++ b/crates/router/src/keyed.rs
@@ -22,6 +22,9 @@
 /// Time after which a request that waits for its owner looks again.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(25);
 
+/// Time after which a request that waits for room at a cold owner looks again.
+const COLD_RECHECK_INTERVAL: Duration = Duration::from_millis(4);
+
 /// Serves a request by the key's owner, again while that is safe and time is left.
 pub(crate) async fn serve(
     state: &Arc<RouterState>,
@@ -42,7 +45,9 @@
         changes.mark_unchanged();
         let table = state.table();
         let outcome = match run.find_owner(&table, now) {
-            Err(NotRunReason::NotHome) => return Err(CallOutcome::NotRun(NotRunReason::NotHome)),
+            Err(NotRunReason::NotHome) => {
+                return Err(CallOutcome::NotRun(NotRunReason::NotHome).after(last));
+            }
             Err(reason) => CallOutcome::NotRun(reason),
             Ok(route) => match run.serve_or_pass_on(&table, &route, cause).await {
                 Ok(answer) => return Ok(answer),
@@ -52,15 +57,15 @@
                 }
             },
         };
-        last = match (last, outcome) {
-            // An earlier send may have run, whatever happened since.
-            (CallOutcome::Unknown(reason), CallOutcome::NotRun(_)) => CallOutcome::Unknown(reason),
-            (_, outcome) => outcome,
-        };
+        last = outcome.after(last);
         if !may_go_on(routed, outcome) {
             return Err(last);
         }
-        let pause = routed.left(state.now()).min(RECHECK_INTERVAL);
+        let interval = match outcome {
+            CallOutcome::NotRun(NotRunReason::ColdServer) => COLD_RECHECK_INTERVAL,
+            _ => RECHECK_INTERVAL,
+        };
+        let pause = routed.left(state.now()).min(interval);
         let _ = tokio::time::timeout(pause, changes.changed()).await;
     }
 }
--- a/crates/router/src/shared_service.rs
+++ b/crates/router/src/shared_service.rs
@@ -101,10 +101,7 @@
 
     /// Notes a failed send, and sends again when that is safe.
     fn take_failure(&mut self, server: &ServerName, failure: &CallFailure) {
-        self.last = match (self.last, failure.outcome) {
-            (CallOutcome::Unknown(reason), CallOutcome::NotRun(_)) => CallOutcome::Unknown(reason),
-            (_, outcome) => outcome,
-        };
+        self.last = failure.outcome.after(self.last);
         let cause = match failure.outcome {
             CallOutcome::NotRun(NotRunReason::ConnectFailed) => SendCause::Replacement,
             CallOutcome::NotRun(
--- a/crates/router/src/traffic.rs
+++ b/crates/router/src/traffic.rs
@@ -146,6 +146,7 @@
         return Err(CallOutcome::NotRun(NotRunReason::BadRequest));
     };
     let mut changes = state.changes();
+    let mut last = CallOutcome::NotRun(NotRunReason::NoOwner);
     loop {
         changes.mark_unchanged();
         let table = state.table();
@@ -157,23 +158,32 @@
             }
             Some(home) => forward::send_home(state, &routed, &home).await,
         };
-        let is_elsewhere = matches!(
-            res,
-            Err(CallOutcome::NotRun(
-                NotRunReason::NotHome
-                    | NotRunReason::NoOwner
-                    | NotRunReason::Leaving
-                    | NotRunReason::ConnectFailed
-            ))
-        );
+        let outcome = match res {
+            Ok(answer) => return Ok(answer),
+            Err(outcome) => outcome,
+        };
+        last = outcome.after(last);
         let left = routed.left(state.now());
-        if !is_elsewhere || left.is_zero() {
-            return res;
+        if !is_elsewhere(outcome) || left.is_zero() {
+            return Err(last);
         }
         let _ = tokio::time::timeout(left.min(RECHECK_INTERVAL), changes.changed()).await;
     }
 }
 
+/// Whether the request has not run and may find its owner by another table.
+fn is_elsewhere(outcome: CallOutcome) -> bool {
+    matches!(
+        outcome,
+        CallOutcome::NotRun(
+            NotRunReason::NotHome
+                | NotRunReason::NoOwner
+                | NotRunReason::Leaving
+                | NotRunReason::ConnectFailed
+        )
+    )
+}
+
 /// Time after which a request that waits for another table looks again.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(25);
 
--- a/crates/sheet/src/check.rs
+++ b/crates/sheet/src/check.rs
@@ -60,7 +60,7 @@
         let line = lines.of("vm", vm.name.as_str());
         claim(vm.router, line, "address");
         claim(vm.planner, line, "settings");
-        if let Some(operator) = vm.operator {
+        for operator in vm.operator.into_iter().chain(vm.planner_operator) {
             claim(operator, line, "settings");
         }
     }
--- a/crates/sheet/src/parse.rs
+++ b/crates/sheet/src/parse.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, fmt, time::Duration};
 
 use csv::{ReaderBuilder, StringRecord};
-use model::{IsolationMode, OwnerCheck, ServiceKind, ServiceSpec};
+use model::{OwnerCheck, ServiceKind, ServiceSpec};
 
 use crate::{
     DomainRow, PlanSheet, PresenceState, ServerRow, StopRow, StopTarget, VmRow,
@@ -204,15 +204,18 @@
     let domain = cells.name("domain");
     let router = cells.parse("address", "IP:PORT");
     let state = cells.parse::<PresenceState>("state", PRESENCE);
-    let settings = cells.settings(&["planner", "operator"]);
+    let settings = cells.settings(&["planner", "operator", "planner-operator"]);
     let planner = settings.require(cells, "planner", "IP:PORT");
     let operator = settings.get(cells, "operator", "IP:PORT", OptionalAddress(None));
+    let planner_operator =
+        settings.get(cells, "planner-operator", "IP:PORT", OptionalAddress(None));
     Some(VmRow {
         name: name?,
         domain: domain?,
         router: router?,
         planner: planner?,
         operator: operator?.0,
+        planner_operator: planner_operator?.0,
         state: state?,
     })
 }
@@ -230,19 +233,17 @@
 fn read_service(cells: &mut RowCells<'_>) -> Option<ServiceSpec> {
     cells.expect_empty(&["domain", "service", "address", "state", "from", "until"]);
     let name = cells.name("name");
-    let settings =
-        cells.settings(&["kind", "slice-bits", "check", "isolation", "idempotent", "deadline-ms"]);
+    let settings = cells.settings(&["kind", "slice-bits", "check", "idempotent", "deadline-ms"]);
     let kind = settings.require::<String>(cells, "kind", "keyed or shared");
     let bits = settings.get(cells, "slice-bits", "0 to 16", DEFAULT_SLICE_BITS);
     let check = settings.get(cells, "check", "token or none", OwnerCheck::Token);
-    let isolation = settings.get(cells, "isolation", "hold or fail-over", IsolationMode::Hold);
     let methods = settings.get(cells, "idempotent", "METHOD|METHOD", String::new());
     let deadline = settings.get(cells, "deadline-ms", "1 to 60000", DEFAULT_DEADLINE_MS);
     let deadline = deadline.filter(|it| check_range(cells, "deadline-ms", *it, 1, MAX_DEADLINE_MS));
     let bits = bits.filter(|it| check_range(cells, "slice-bits", *it, 0, MAX_SLICE_BITS));
-    let (check, isolation) = (check?, isolation?);
+    let check = check?;
     let kind = match kind?.as_str() {
-        "keyed" => ServiceKind::Keyed { slice_bits: bits?, check, isolation },
+        "keyed" => ServiceKind::Keyed { slice_bits: bits?, check },
         "shared" => ServiceKind::Shared,
         other => {
             let message = format!("kind={other:?} is not allowed: expected keyed or shared");
--- a/crates/sheet/src/rows.rs
+++ b/crates/sheet/src/rows.rs
@@ -44,8 +44,10 @@
     pub router: SocketAddr,
     /// Where its planner listens for other VMs.
     pub planner: SocketAddr,
-    /// Where its router listens for operators, when it does.
+    /// Where its router listens for operators, when the sheet says so.
     pub operator: Option<SocketAddr>,
+    /// Where its planner listens for operators, when the sheet says so.
+    pub planner_operator: Option<SocketAddr>,
     /// Whether it takes new work.
     pub state: PresenceState,
 }
