--- a/crates/policy/src/balancer.rs
+++ b/crates/policy/src/balancer.rs
@@ -26,7 +26,7 @@
 const LOCAL_PREFERENCE: f64 = 0.8;
 
 /// How a server is chosen; all but `Adaptive` are baselines for comparison.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::EnumString)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::EnumString, strum::EnumIter)]
 #[strum(serialize_all = "kebab-case")]
 pub enum BalancerPolicy {
     /// Least expected wait of two random servers, with hedges.
--- a/crates/trial/src/judge.rs
+++ b/crates/trial/src/judge.rs
@@ -49,6 +49,7 @@
     served: BTreeMap<String, u64>,
     /// Last arrival of a request at each server.
     arrivals: HashMap<String, Instant>,
+    n_arrived: u64,
     callers: Vec<CallerRecord>,
     crossed: u64,
     cut_accepted: u64,
@@ -70,7 +71,9 @@
     }
 
     pub(crate) fn note_arrival(&self, server: &str) {
-        self.lock().arrivals.insert(server.to_owned(), Instant::now());
+        let mut records = self.lock();
+        records.n_arrived += 1;
+        records.arrivals.insert(server.to_owned(), Instant::now());
     }
 
     pub(crate) fn last_arrival(&self, server: &str) -> Option<Instant> {
@@ -172,6 +175,7 @@
             cut_accepted: records.cut_accepted,
             cold_overload: records.cold_overload,
             moves: records.moves,
+            arrived: records.n_arrived,
             served: records.served.clone(),
             reasons,
             max_unavailable_ms: max_unavailable(callers),
--- a/crates/trial/src/main.rs
+++ b/crates/trial/src/main.rs
@@ -3,6 +3,7 @@
 
 mod backend_server;
 mod battery;
+mod compare;
 mod deployment;
 mod faults;
 mod gate;
@@ -18,6 +19,8 @@
 use std::{ffi::OsString, net::SocketAddr, path::PathBuf, process::ExitCode, time::Duration};
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use policy::BalancerPolicy;
+use strum::IntoEnumIterator;
 
 use crate::{battery::BatteryKind, report::TrialReport, scenario::Scenario};
 
@@ -86,6 +89,7 @@
                 .help("Check the scenario of --config and exit"),
         )
         .subcommand(stand_ins_command())
+        .subcommand(compare_command())
         .subcommand(
             Command::new("battery")
                 .about("Runs every kind of fault over one base scenario, one line for each")
@@ -144,6 +148,45 @@
         )
 }
 
+fn compare_command() -> Command {
+    Command::new("compare")
+        .about("Runs one scenario under several policies and seeds, and prints medians and ranges")
+        .arg(
+            Arg::new("scenario")
+                .value_name("SCENARIO.toml")
+                .required(true)
+                .value_parser(value_parser!(PathBuf)),
+        )
+        .arg(
+            Arg::new("policy")
+                .long("policy")
+                .value_name("POLICY")
+                .action(ArgAction::Append)
+                .value_parser(|it: &str| it.parse::<BalancerPolicy>())
+                .help("A policy to compare; without any, all"),
+        )
+        .arg(
+            Arg::new("seeds")
+                .long("seeds")
+                .value_name("N")
+                .default_value("3")
+                .value_parser(value_parser!(u64).range(1..=20)),
+        )
+}
+
+fn run_compare(matches: &ArgMatches) -> eyre::Result<ExitCode> {
+    let missing = || eyre::eyre!("an argument is missing; see --help");
+    let scenario = scenario::read(matches.get_one::<PathBuf>("scenario").ok_or_else(missing)?)?;
+    let n_seeds = matches.get_one::<u64>("seeds").copied().unwrap_or(1);
+    let named = matches.get_many::<BalancerPolicy>("policy").unwrap_or_default();
+    let mut policies: Vec<BalancerPolicy> = named.copied().collect();
+    if policies.is_empty() {
+        policies = BalancerPolicy::iter().collect();
+    }
+    compare::compare(&scenario, &policies, n_seeds)?;
+    Ok(ExitCode::SUCCESS)
+}
+
 fn run_stand_ins(matches: &ArgMatches) -> eyre::Result<ExitCode> {
     let missing = || eyre::eyre!("an argument is missing; see --help");
     let sheet = matches.get_one::<PathBuf>("sheet").ok_or_else(missing)?;
@@ -183,6 +226,7 @@
 fn run_command(matches: &ArgMatches) -> eyre::Result<ExitCode> {
     match matches.subcommand() {
         Some(("battery", matches)) => return run_battery(matches),
+        Some(("compare", matches)) => return run_compare(matches),
         Some(("stand-ins", matches)) => return run_stand_ins(matches),
         _ => (),
     }
--- a/crates/trial/src/report.rs
+++ b/crates/trial/src/report.rs
@@ -20,6 +20,7 @@
     pub(crate) cut_accepted: u64,
     pub(crate) cold_overload: u64,
     pub(crate) moves: u64,
+    pub(crate) arrived: u64,
     pub(crate) served: BTreeMap<String, u64>,
     pub(crate) reasons: BTreeMap<String, u64>,
     pub(crate) max_unavailable_ms: u64,
@@ -66,6 +67,8 @@
     p99_ms: f64,
     p999_ms: f64,
     served_share: f64,
+    /// Requests that reached servers for each one that reached routers.
+    sent_ratio: f64,
     store_calls_per_s: f64,
     control_bytes_per_node_s: f64,
     bad_exits: u64,
@@ -113,6 +116,7 @@
             p99_ms: quantile(0.99),
             p999_ms: quantile(0.999),
             served_share: callers.answered as f64 / callers.requests.max(1) as f64,
+            sent_ratio: callers.arrived as f64 / callers.requests.max(1) as f64,
             store_calls_per_s: nodes.store_calls_per_s,
             control_bytes_per_node_s: nodes.control_bytes_per_node_s,
             bad_exits: nodes.bad_exits,
@@ -120,6 +124,38 @@
         }
     }
 
+    pub(crate) fn served_share(&self) -> f64 {
+        self.served_share
+    }
+
+    pub(crate) fn p50_ms(&self) -> f64 {
+        self.p50_ms
+    }
+
+    pub(crate) fn p99_ms(&self) -> f64 {
+        self.p99_ms
+    }
+
+    pub(crate) fn p999_ms(&self) -> f64 {
+        self.p999_ms
+    }
+
+    pub(crate) fn max_unavailable_ms(&self) -> f64 {
+        self.max_unavailable_ms as f64
+    }
+
+    pub(crate) fn imbalance(&self) -> f64 {
+        self.imbalance
+    }
+
+    pub(crate) fn churn(&self) -> f64 {
+        self.churn as f64
+    }
+
+    pub(crate) fn sent_ratio(&self) -> f64 {
+        self.sent_ratio
+    }
+
     /// Whether every promise that must never break was kept.
     pub(crate) fn keeps_promises(&self) -> bool {
         let broken = self.duplicates
