settings, ownership: one frame for both daemons, one way to found a record

Cause: both daemons read arguments and settings with the same 30 lines, and following and electing planners settled a founding write with the same rules written twice.

--- a/crates/ownership/src/planner.rs
+++ b/crates/ownership/src/planner.rs
@@ -7,6 +7,7 @@
 mod candidates;
 mod election;
 mod following;
+mod founding;
 mod grants;
 mod handover;
 mod leases;
--- a/crates/ownership/src/planner/election.rs
+++ b/crates/ownership/src/planner/election.rs
@@ -6,10 +6,11 @@
 use smallvec::SmallVec;
 
 use super::{
-    NextRole, PlannerAction, PlannerContext, PlannerEvent, PlannerRole, WriteOutcome,
+    NextRole, PlannerAction, PlannerContext, PlannerEvent, PlannerRole,
     acting::ActingState,
     candidates::{desired_witnesses, greet},
     following::FollowingState,
+    founding::Founding,
 };
 use crate::{DomainMap, MapStamp, PrepareAnswer, PrepareAsk, VmId};
 
@@ -26,7 +27,7 @@
     started_at: MonoTime,
     /// When it was proved that no majority of the old witnesses can answer any more.
     cold_since: Option<MonoTime>,
-    founding: Option<Arc<DomainMap>>,
+    founding: Founding,
 }
 
 impl ElectionState {
@@ -44,7 +45,7 @@
             asked: SmallVec::new(),
             started_at: ctx.now,
             cold_since: None,
-            founding: None,
+            founding: Founding::default(),
         };
         state.ask_witnesses(ctx, actions);
         state
@@ -104,40 +105,26 @@
     ctx: &mut PlannerContext<'_>,
     actions: &mut Vec<PlannerAction>,
 ) -> NextRole {
-    ctx.record.observe(event, state.founding.as_ref(), ctx.now);
+    let next = state.founding.settle(event, ctx, actions);
     match event {
+        _ if next.is_some() => next,
         PlannerEvent::Tick => tick(state, ctx, actions),
         PlannerEvent::PrepareAnswered { from, term, answer: Some(answer) }
             if *term == state.term =>
         {
             take_answer(state, from, answer, ctx, actions)
         }
-        PlannerEvent::RecordRead(Some(record)) => {
-            let is_mine = state.founding.take().is_some_and(|it| record.map.as_ref() == Some(&it));
-            match &record.map {
-                Some(map) if is_mine => Some(found(map.clone(), ctx)),
-                Some(map) if map.stamp.term >= state.term => {
-                    ctx.witness.observe_term(map.stamp.term);
-                    Some(give_up(state, ctx))
-                }
-                _ => None,
+        PlannerEvent::RecordRead(Some(record)) => match &record.map {
+            Some(map) if map.stamp.term >= state.term => {
+                ctx.witness.observe_term(map.stamp.term);
+                Some(give_up(state, ctx))
             }
-        }
-        PlannerEvent::RecordWritten { outcome: WriteOutcome::Written(_), .. } => {
-            state.founding.take().map(|it| found(it, ctx))
-        }
-        PlannerEvent::RecordWritten { .. } => {
-            ctx.record.read(ctx.now, actions);
-            None
-        }
+            _ => None,
+        },
         _ => None,
     }
 }
 
-fn found(map: Arc<DomainMap>, ctx: &PlannerContext<'_>) -> PlannerRole {
-    PlannerRole::Acting(Box::new(ActingState::founded(map, ctx.now)))
-}
-
 /// Follows again for a while that differs between the witnesses, so that two candidates that
 /// refused each other do not do so forever.
 fn give_up(state: &ElectionState, ctx: &PlannerContext<'_>) -> PlannerRole {
@@ -208,7 +195,7 @@
     ctx: &mut PlannerContext<'_>,
     actions: &mut Vec<PlannerAction>,
 ) {
-    if ctx.record.is_writing() || state.founding.is_some() {
+    if ctx.record.is_writing() || state.founding.is_pending() {
         return;
     }
     let Some(record) = ctx.record.known().cloned() else {
@@ -232,9 +219,7 @@
     map.planner = ctx.identity.id.clone();
     map.witnesses = desired_witnesses(ctx, &current, |it| !ctx.book.is_dead(it));
     map.joint_witnesses = SmallVec::new();
-    let map = Arc::new(map);
-    state.founding = Some(map.clone());
-    ctx.record.write(map, actions);
+    state.founding.start(map, ctx, actions);
 }
 
 /// Whether it is proved that no planner can act under `map` any more.
--- a/crates/ownership/src/planner/following.rs
+++ b/crates/ownership/src/planner/following.rs
@@ -6,10 +6,10 @@
 use smallvec::SmallVec;
 
 use super::{
-    NextRole, PlannerAction, PlannerContext, PlannerEvent, PlannerRole, WriteOutcome,
-    acting::ActingState,
+    NextRole, PlannerAction, PlannerContext, PlannerEvent, PlannerRole,
     candidates::{desired_witnesses, greet},
     election::ElectionState,
+    founding::Founding,
 };
 use crate::{DomainMap, MapStamp};
 
@@ -24,12 +24,12 @@
 pub(super) struct FollowingState {
     /// No election starts before this time.
     not_before: MonoTime,
-    founding: Option<Arc<DomainMap>>,
+    founding: Founding,
 }
 
 impl FollowingState {
     pub(super) fn new(not_before: MonoTime) -> Self {
-        Self { not_before, founding: None }
+        Self { not_before, founding: Founding::default() }
     }
 }
 
@@ -39,33 +39,14 @@
     ctx: &mut PlannerContext<'_>,
     actions: &mut Vec<PlannerAction>,
 ) -> NextRole {
-    ctx.record.observe(event, state.founding.as_ref(), ctx.now);
+    let next = state.founding.settle(event, ctx, actions);
     match event {
+        _ if next.is_some() => next,
         PlannerEvent::Tick => tick(state, ctx, actions),
-        PlannerEvent::RecordRead(Some(record)) if record.map.is_some() => {
-            let base = record.map.clone()?;
-            let is_mine = state.founding.take().is_some_and(|it| it.stamp == base.stamp)
-                && base.planner == ctx.identity.id;
-            match is_mine {
-                true => Some(found(base, ctx)),
-                false => None,
-            }
-        }
-        PlannerEvent::RecordWritten { outcome: WriteOutcome::Written(_), .. } => {
-            state.founding.take().map(|it| found(it, ctx))
-        }
-        PlannerEvent::RecordWritten { .. } => {
-            ctx.record.read(ctx.now, actions);
-            None
-        }
         _ => None,
     }
 }
 
-fn found(map: Arc<DomainMap>, ctx: &PlannerContext<'_>) -> PlannerRole {
-    PlannerRole::Acting(Box::new(ActingState::founded(map, ctx.now)))
-}
-
 fn tick(
     state: &mut FollowingState,
     ctx: &mut PlannerContext<'_>,
@@ -120,9 +101,8 @@
             start_election(base, ctx, actions)
         }
         Some(_) if is_my_turn_to_found(ctx) => {
-            let map = Arc::new(founding_map(ctx));
-            state.founding = Some(map.clone());
-            ctx.record.write(map, actions);
+            let map = founding_map(ctx);
+            state.founding.start(map, ctx, actions);
             None
         }
         _ => {
--- /dev/null
+++ b/crates/ownership/src/planner/founding.rs
@@ -0,0 +1,62 @@
+//! Writing a domain's record anew, and finding out whether the write took effect.
+
+use std::sync::Arc;
+
+use super::{
+    PlannerAction, PlannerContext, PlannerEvent, PlannerRole, WriteOutcome, acting::ActingState,
+};
+use crate::DomainMap;
+
+/// A record that is being written, if any.
+#[derive(Debug, Default)]
+pub(super) struct Founding {
+    map: Option<Arc<DomainMap>>,
+}
+
+impl Founding {
+    /// Whether a write is not settled yet.
+    pub(super) fn is_pending(&self) -> bool {
+        self.map.is_some()
+    }
+
+    /// Starts to write `map` over the record as last read.
+    pub(super) fn start(
+        &mut self,
+        map: DomainMap,
+        ctx: &mut PlannerContext<'_>,
+        actions: &mut Vec<PlannerAction>,
+    ) {
+        let map = Arc::new(map);
+        self.map = Some(map.clone());
+        ctx.record.write(map, actions);
+    }
+
+    /// Takes in the end of a read or write. Once the record is known to be in force, its planner
+    /// acts; after a lost reply or a conflict, a read tells.
+    pub(super) fn settle(
+        &mut self,
+        event: &PlannerEvent,
+        ctx: &mut PlannerContext<'_>,
+        actions: &mut Vec<PlannerAction>,
+    ) -> Option<PlannerRole> {
+        ctx.record.observe(event, self.map.as_ref(), ctx.now);
+        let in_force = match event {
+            PlannerEvent::RecordWritten { outcome: WriteOutcome::Written(_), .. } => {
+                self.map.take()
+            }
+            PlannerEvent::RecordWritten { .. } => {
+                ctx.record.read(ctx.now, actions);
+                None
+            }
+            PlannerEvent::RecordRead(Some(record)) => {
+                let held = record.map.as_ref();
+                let is_own = |it: &Arc<DomainMap>| {
+                    held.is_some_and(|held| held.stamp == it.stamp && held.planner == it.planner)
+                };
+                self.map.take().filter(is_own)
+            }
+            _ => None,
+        };
+        in_force.map(|it| PlannerRole::Acting(Box::new(ActingState::founded(it, ctx.now))))
+    }
+}
--- a/crates/planner/src/run.rs
+++ b/crates/planner/src/run.rs
@@ -1,24 +1,18 @@
 //! Starting and stopping the planner.
 
-use std::{ffi::OsString, net::SocketAddr, process::ExitCode, sync::Arc, time::Duration};
+use std::{ffi::OsString, process::ExitCode, sync::Arc, time::Duration};
 
 use backend::HttpBackend;
 use clap::Command;
-use eyre::WrapErr;
 use model::Incarnation;
 use operator::serve_operators;
 use ownership::PlannerEvent;
 use peer::{ByteCount, PeerBook, serve_peers};
 use platform::HttpStore;
-use settings::{ProcessClock, SettingsCommand, daemon_command, read_daemon_arguments, read_file};
+use settings::{ProcessClock, daemon_command, listen, run_daemon, stop_signal};
 use slog::info;
 use telemetry::{PlannerMetrics, start_log};
-use tokio::{
-    net::TcpListener,
-    runtime::Builder,
-    signal::unix::{SignalKind, signal},
-    sync::watch,
-};
+use tokio::{runtime::Builder, sync::watch};
 use xtra::prelude::*;
 
 use crate::{
@@ -30,9 +24,6 @@
     relay::{WatchedDomain, watch_domains, watch_planners, watch_store, watch_vms},
 };
 
-/// Exit status when the settings are not allowed.
-const EXIT_BAD_SETTINGS: u8 = 2;
-
 /// Time between ticks of the planner.
 const TICK: Duration = Duration::from_millis(20);
 
@@ -43,29 +34,7 @@
 
 /// Runs the program with these arguments.
 pub fn main_with(arguments: impl IntoIterator<Item = OsString>) -> ExitCode {
-    let matches = command().get_matches_from(arguments);
-    let (file, is_check) = match read_daemon_arguments(&matches) {
-        SettingsCommand::Run(file) => (file, false),
-        SettingsCommand::Check(file) => (file, true),
-    };
-    let settings = match read_file::<RawSettings, PlannerSettings>(&file) {
-        Ok(settings) => settings,
-        Err(err) => {
-            eprintln!("event=bad-setting {err}");
-            return ExitCode::from(EXIT_BAD_SETTINGS);
-        }
-    };
-    if is_check {
-        println!("event=settings-allowed file={:?}", file.display());
-        return ExitCode::SUCCESS;
-    }
-    match run_planner(settings) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(err) => {
-            eprintln!("event=planner-failed cause={:?}", format!("{err:#}"));
-            ExitCode::FAILURE
-        }
-    }
+    run_daemon::<RawSettings, PlannerSettings>(command(), arguments, run_planner)
 }
 
 /// Runs a planner until it is told to stop.
@@ -80,8 +49,8 @@
 async fn serve(settings: PlannerSettings) -> eyre::Result<()> {
     let (log, _guard) =
         start_log("jackdaw-planner", settings.identity.vm.as_str(), settings.log_level);
-    let peers = bind(settings.peer, "listen-peers").await?;
-    let operators = bind(settings.operator, "listen-operators").await?;
+    let peers = listen(settings.peer, "listen-peers").await?;
+    let operators = listen(settings.operator, "listen-operators").await?;
     let bytes = ByteCount::default();
     let state = Arc::new(PlannerState {
         incarnation: Incarnation(rand::random::<u64>() >> 16),
@@ -106,15 +75,11 @@
     tokio::spawn(watch_planners(state.clone(), actor.clone(), WatchedDomain::Own));
     tokio::spawn(watch_domains(state.clone(), actor.clone()));
     tokio::spawn(tick_loop(state.clone(), actor, bytes));
-    wait_for_stop().await?;
+    stop_signal().await?;
     info!(log, "planner-stopped");
     Ok(())
 }
 
-async fn bind(address: SocketAddr, step: &'static str) -> eyre::Result<TcpListener> {
-    TcpListener::bind(address).await.wrap_err_with(|| format!("step={step} peer={address}"))
-}
-
 async fn tick_loop(state: Arc<PlannerState>, actor: Address<PlannerActor>, bytes: ByteCount) {
     loop {
         if actor.send(Happened(PlannerEvent::Tick)).await.is_err() {
@@ -125,13 +90,3 @@
         tokio::time::sleep(TICK).await;
     }
 }
-
-async fn wait_for_stop() -> eyre::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => (),
-        _ = interrupt.recv() => (),
-    }
-    Ok(())
-}
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -10,18 +10,16 @@
 use backend::BackendPort;
 use caller::{CallerLimits, serve_callers};
 use clap::Command;
-use eyre::WrapErr;
 use model::Incarnation;
 use operator::serve_operators;
 use ownership::GrantAnswer;
 use peer::{ByteCount, PeerBook, PeerReply, PeerRequest, serve_peers};
-use settings::{ProcessClock, SettingsCommand, daemon_command, read_daemon_arguments, read_file};
+use settings::{ProcessClock, daemon_command, listen, run_daemon, stop_signal};
 use slog::{Logger, info};
 use telemetry::start_log;
 use tokio::{
     net::TcpListener,
     runtime::{Builder, Runtime},
-    signal::unix::{SignalKind, signal},
 };
 use xtra::prelude::*;
 
@@ -34,9 +32,6 @@
     traffic::TrafficService,
 };
 
-/// Exit status when the settings are not allowed.
-const EXIT_BAD_SETTINGS: u8 = 2;
-
 /// Time that a watch may take beyond its own wait.
 const WATCH_SLACK: Duration = Duration::from_millis(500);
 
@@ -56,29 +51,7 @@
 
 /// Runs the program with these arguments.
 pub fn main_with(arguments: impl IntoIterator<Item = OsString>) -> ExitCode {
-    let matches = command().get_matches_from(arguments);
-    let (file, is_check) = match read_daemon_arguments(&matches) {
-        SettingsCommand::Run(file) => (file, false),
-        SettingsCommand::Check(file) => (file, true),
-    };
-    let settings = match read_file::<RawSettings, RouterSettings>(&file) {
-        Ok(settings) => settings,
-        Err(err) => {
-            eprintln!("event=bad-setting {err}");
-            return ExitCode::from(EXIT_BAD_SETTINGS);
-        }
-    };
-    if is_check {
-        println!("event=settings-allowed file={:?}", file.display());
-        return ExitCode::SUCCESS;
-    }
-    match run_router(settings) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(err) => {
-            eprintln!("event=router-failed cause={:?}", format!("{err:#}"));
-            ExitCode::FAILURE
-        }
-    }
+    run_daemon::<RawSettings, RouterSettings>(command(), arguments, run_router)
 }
 
 /// Runs a router until it is told to stop and has finished what it accepted.
@@ -112,9 +85,9 @@
     log: &Logger,
 ) -> eyre::Result<()> {
     let settings = &state.settings;
-    let callers = bind(settings.caller, "listen-callers").await?;
-    let peers = bind(settings.peer, "listen-peers").await?;
-    let operators = bind(settings.operator, "listen-operators").await?;
+    let callers = listen(settings.caller, "listen-callers").await?;
+    let peers = listen(settings.peer, "listen-peers").await?;
+    let operators = listen(settings.operator, "listen-operators").await?;
     info!(log, "router-started"; "caller" => %settings.caller, "peer" => %settings.peer,
           "operator" => %settings.operator, "incarnation" => state.incarnation.0);
 
@@ -149,7 +122,7 @@
         }
     });
 
-    wait_for_stop().await?;
+    stop_signal().await?;
     leave(state, log).await;
     let _ = stop.send(());
     let _ = tokio::time::timeout(DRAIN_LIMIT, caller_task).await;
@@ -157,20 +130,6 @@
     Ok(())
 }
 
-async fn bind(address: std::net::SocketAddr, step: &'static str) -> eyre::Result<TcpListener> {
-    TcpListener::bind(address).await.wrap_err_with(|| format!("step={step} peer={address}"))
-}
-
-async fn wait_for_stop() -> eyre::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => (),
-        _ = interrupt.recv() => (),
-    }
-    Ok(())
-}
-
 /// Says leaving to the balancer, serves until it has noticed, then finishes accepted requests.
 async fn leave(state: &Arc<RouterState>, log: &Logger) {
     info!(log, "router-leaving"; "serving" => state.n_serving.load(Ordering::Relaxed));
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -2,12 +2,14 @@
 
 mod clock;
 mod command;
+mod daemon;
 mod error;
 mod lease;
 mod shared;
 
 pub use clock::ProcessClock;
 pub use command::{SettingsCommand, daemon_command, read_daemon_arguments};
+pub use daemon::{listen, run_daemon, stop_signal};
 pub use error::SettingError;
 pub use lease::RawLease;
 pub use shared::{IdentitySettings, RawLog, check_addresses, parse_field, read_file};
