policy: remember stragglers whose calls were cancelled, hedge after a running quantile

Cause: the loser of a hedge was cancelled, and with it the age that showed the straggler; the next requests went there again until the hedge budget was spent. Hedges were timed by an average that stragglers raise.

--- a/crates/policy/src/balancer.rs
+++ b/crates/policy/src/balancer.rs
@@ -5,19 +5,25 @@
 use model::{MonoTime, ServerName};
 use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom};
 
-use crate::{CallResult, CallTicket, RetryBudget, ServerProfile, ServerView};
+use crate::{CallResult, CallTicket, QuantileTracker, RetryBudget, ServerProfile, ServerView};
 
 /// Seconds that stand in for the average while no call has ended.
 const INITIAL_LATENCY_SECONDS: f64 = 0.005;
 
+/// Seconds that stand in for the slow quantile while few calls have ended.
+const INITIAL_SLOW_SECONDS: f64 = 0.015;
+
 /// Further sends for each first send.
 const RETRY_RATIO: f64 = 0.1;
 
 /// Most further sends that are saved up.
 const RETRY_CAP: f64 = 20.0;
 
-/// Averages of the service's latency after which a second server is tried.
-const HEDGE_FACTOR: f64 = 3.0;
+/// Quantile of the service's latency after which a second server is tried.
+const HEDGE_QUANTILE: f64 = 0.95;
+
+/// Share of the estimated quantile by which one call moves it.
+const HEDGE_GAIN: f64 = 0.05;
 
 /// Shortest wait before a second server is tried, in seconds.
 const MIN_HEDGE_SECONDS: f64 = 0.004;
@@ -47,6 +53,7 @@
     policy: BalancerPolicy,
     servers: BTreeMap<ServerName, ServerView>,
     latency: f64,
+    slow: QuantileTracker,
     budget: RetryBudget,
     rng: SmallRng,
     turn: usize,
@@ -59,6 +66,7 @@
             policy,
             servers: BTreeMap::new(),
             latency: INITIAL_LATENCY_SECONDS,
+            slow: QuantileTracker::new(HEDGE_QUANTILE, INITIAL_SLOW_SECONDS, HEDGE_GAIN),
             budget: RetryBudget::new(RETRY_RATIO, RETRY_CAP),
             rng: SmallRng::seed_from_u64(seed),
             turn: 0,
@@ -160,15 +168,24 @@
         let Some(view) = self.servers.get_mut(server) else {
             return;
         };
-        view.finish(ticket, result, hint, now);
-        if let Some(latency) = view.latency().filter(|_| result == CallResult::Answered) {
-            self.latency += (latency - self.latency) * SERVICE_GAIN;
+        let Some(age) = view.finish(ticket, result, hint, now) else {
+            return;
+        };
+        let age = age.as_secs_f64();
+        match result {
+            CallResult::Answered => {
+                self.latency += (view.latency().unwrap_or(age) - self.latency) * SERVICE_GAIN;
+                self.slow.add(age);
+            }
+            // A call that was given up would have taken longer than this.
+            CallResult::Abandoned if age > self.slow.value() => self.slow.add(age),
+            _ => (),
         }
     }
 
     /// Time after which a second server should be tried, when the policy tries one.
     pub fn hedge_after(&self) -> Option<std::time::Duration> {
-        let seconds = (self.latency * HEDGE_FACTOR).max(MIN_HEDGE_SECONDS);
+        let seconds = self.slow.value().max(MIN_HEDGE_SECONDS);
         match self.policy {
             BalancerPolicy::Adaptive => Some(std::time::Duration::from_secs_f64(seconds)),
             _ => None,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,11 +5,13 @@
 mod admission;
 mod balancer;
 mod budget;
+mod quantile;
 mod server_view;
 mod warmup;
 
 pub use admission::{AdmissionLimits, admit};
 pub use balancer::{BalancerPolicy, Candidate, ServiceBalancer};
 pub use budget::RetryBudget;
+pub use quantile::QuantileTracker;
 pub use server_view::{CallResult, CallTicket, ServerProfile, ServerView};
 pub use warmup::{ColdProfile, RouterShare, WarmupState};
--- a/crates/policy/src/server_view.rs
+++ b/crates/policy/src/server_view.rs
@@ -43,6 +43,15 @@
 /// Weight of the newest latency in the average.
 const LATENCY_GAIN: f64 = 0.1;
 
+/// Assumed length of a call that was given up, in units of its age.
+const STRAGGLE_FACTOR: f64 = 3.0;
+
+/// Time in which the memory of such a call halves.
+const STRAGGLE_HALF_LIFE: Duration = Duration::from_millis(300);
+
+/// Half-lives after which it is forgotten.
+const MAX_STRAGGLE_HALF_LIVES: f64 = 8.0;
+
 /// Pause after the first failure in a row.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 
@@ -59,6 +68,8 @@
     open: BTreeMap<CallTicket, MonoTime>,
     next_ticket: u64,
     latency: Option<f64>,
+    /// Estimated seconds of a call that was given up, and when that was.
+    straggled: Option<(f64, MonoTime)>,
     n_failed: u32,
     paused_until: MonoTime,
     hint: Option<(u32, MonoTime)>,
@@ -73,6 +84,7 @@
             open: BTreeMap::new(),
             next_ticket: 0,
             latency: None,
+            straggled: None,
             n_failed: 0,
             paused_until: MonoTime::default(),
             hint: None,
@@ -94,28 +106,30 @@
     }
 
     /// Notes how a call ended, and the server's own count of running and waiting requests.
+    /// Returns the call's age, unless it had ended already.
     pub fn finish(
         &mut self,
         ticket: CallTicket,
         result: CallResult,
         hint: Option<u32>,
         now: MonoTime,
-    ) {
-        let Some(started_at) = self.open.remove(&ticket) else {
-            return;
-        };
+    ) -> Option<Duration> {
+        let started_at = self.open.remove(&ticket)?;
         let age = now.since(started_at).as_secs_f64();
         self.note_warmth(result, now);
         match result {
             CallResult::Answered => {
                 let old = self.latency.unwrap_or(age);
                 self.latency = Some(old + (age - old) * LATENCY_GAIN);
+                if self.straggled.is_some_and(|(estimate, _)| age * 2.0 < estimate) {
+                    self.straggled = None;
+                }
                 self.n_failed = 0;
                 self.paused_until = MonoTime::default();
             }
             CallResult::Abandoned => {
-                let old = self.latency.unwrap_or(age);
-                self.latency = Some(old.max(old + (age - old) * LATENCY_GAIN));
+                // The call would have taken longer than this, and its age no longer shows.
+                self.straggled = Some((age * STRAGGLE_FACTOR, now));
             }
             CallResult::Shed | CallResult::Cold | CallResult::Refused | CallResult::Failed => {
                 let pause = (FIRST_PAUSE * 2u32.pow(self.n_failed.min(5))).min(MAX_PAUSE);
@@ -126,6 +140,7 @@
         if let Some(hint) = hint {
             self.hint = Some((hint, now));
         }
+        Some(now.since(started_at))
     }
 
     fn note_warmth(&mut self, result: CallResult, now: MonoTime) {
@@ -208,6 +223,18 @@
         let load = (self.n_open() as f64).max(hinted) + 1.0;
         let queueing = (load / f64::from(self.profile.slots.max(1))).max(1.0);
         let overdue = (age - 2.0 * latency.max(typical)).max(0.0);
-        latency * queueing + overdue + latency * load * 0.1
+        latency * queueing + overdue + latency * load * 0.1 + self.straggle_seconds(now)
+    }
+
+    /// What is left of the last call that was given up.
+    fn straggle_seconds(&self, now: MonoTime) -> f64 {
+        let Some((estimate, at)) = self.straggled else {
+            return 0.0;
+        };
+        let half_lives = now.since(at).as_secs_f64() / STRAGGLE_HALF_LIFE.as_secs_f64();
+        match half_lives < MAX_STRAGGLE_HALF_LIVES {
+            true => estimate * 0.5f64.powf(half_lives),
+            false => 0.0,
+        }
     }
 }
--- a/crates/policy/tests/it/balancer.rs
+++ b/crates/policy/tests/it/balancer.rs
@@ -4,7 +4,8 @@
 
 use model::{NotRunReason, ServerName};
 use policy::{
-    AdmissionLimits, BalancerPolicy, CallResult, Candidate, ServerView, ServiceBalancer, admit,
+    AdmissionLimits, BalancerPolicy, CallResult, Candidate, QuantileTracker, ServerView,
+    ServiceBalancer, admit,
 };
 
 use crate::{at, profile};
@@ -92,3 +93,34 @@
     let res = admit(&view, limits, 0.001, Duration::from_secs(1), at(0));
     assert_eq!(res, Err(NotRunReason::Overloaded));
 }
+
+#[test]
+fn the_quantile_is_found_and_followed() {
+    let mut tracker = QuantileTracker::new(0.95, 1.0, 0.05);
+    let mut feed = |scale: f64| {
+        for round in 0..5_000u32 {
+            tracker.add(scale * f64::from(round * 37 % 100 + 1) / 100.0);
+        }
+        tracker.value() / scale
+    };
+    let (fast, slow) = (feed(0.01), feed(0.1));
+    assert!((0.85..1.05).contains(&fast), "{fast}");
+    assert!((0.85..1.05).contains(&slow), "{slow}");
+}
+
+#[test]
+fn a_call_that_was_given_up_keeps_new_work_away_for_a_while() {
+    let mut balancer = balancer(BalancerPolicy::Adaptive, 2);
+    for idx in 0..2 {
+        let call = balancer.begin_first(&name(idx), at(0)).unwrap();
+        balancer.finish(&name(idx), call, CallResult::Answered, None, at(5));
+    }
+    let call = balancer.begin_first(&name(0), at(10)).unwrap();
+    balancer.finish(&name(0), call, CallResult::Abandoned, None, at(30));
+    let count = |balancer: &mut ServiceBalancer, ms| {
+        let chosen = (0..40).filter_map(|_| balancer.choose(&candidates(2), &[], at(ms)));
+        chosen.filter(|it| *it == name(0)).count()
+    };
+    assert_eq!(count(&mut balancer, 40), 0);
+    assert!(count(&mut balancer, 8_000) > 0);
+}
