policy: limit open calls at each server by how much of their time they use

Cause: under twice its capacity a service queued at its servers until most deadlines had passed; routers that share a server do not see each other's queue, and only the server's own shedding held them back. Change: additive increase and multiplicative decrease of each router's open calls at each server; what finds no room is refused at once as not run.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -26,10 +26,11 @@
     now: MonoTime,
 ) -> Result<(), NotRunReason> {
     let share = (view.connections() / limits.n_routers.max(1)).max(view.slots()).max(1);
+    let is_full = view.n_open() >= share as usize || !view.is_below_limit();
     match () {
         () if !view.has_room(now) => Err(NotRunReason::ColdServer),
         () if left.is_zero() => Err(NotRunReason::DeadlinePassed),
-        () if view.n_open() >= share as usize => Err(NotRunReason::Overloaded),
+        () if is_full => Err(NotRunReason::Overloaded),
         () if queue_seconds(view, typical) > left.as_secs_f64() => Err(NotRunReason::Overloaded),
         () => Ok(()),
     }
--- a/crates/policy/src/balancer.rs
+++ b/crates/policy/src/balancer.rs
@@ -1,6 +1,6 @@
 //! Choosing a server of a shared service.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 use model::{MonoTime, ServerName};
 use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom};
@@ -134,26 +134,46 @@
     }
 
     /// Notes a first send to `server`.
-    pub fn begin_first(&mut self, server: &ServerName, now: MonoTime) -> Option<CallTicket> {
+    pub fn begin_first(
+        &mut self,
+        server: &ServerName,
+        allowed: Duration,
+        now: MonoTime,
+    ) -> Option<CallTicket> {
         self.budget.note_first();
-        self.begin(server, now)
+        self.begin(server, allowed, now)
     }
 
     /// Notes a further send to `server`, unless the budget is spent.
-    pub fn begin_again(&mut self, server: &ServerName, now: MonoTime) -> Option<CallTicket> {
+    pub fn begin_again(
+        &mut self,
+        server: &ServerName,
+        allowed: Duration,
+        now: MonoTime,
+    ) -> Option<CallTicket> {
         match self.budget.take() {
-            true => self.begin(server, now),
+            true => self.begin(server, allowed, now),
             false => None,
         }
     }
 
     /// Notes a send that replaces one which certainly did not run.
-    pub fn begin_replacement(&mut self, server: &ServerName, now: MonoTime) -> Option<CallTicket> {
-        self.begin(server, now)
+    pub fn begin_replacement(
+        &mut self,
+        server: &ServerName,
+        allowed: Duration,
+        now: MonoTime,
+    ) -> Option<CallTicket> {
+        self.begin(server, allowed, now)
     }
 
-    fn begin(&mut self, server: &ServerName, now: MonoTime) -> Option<CallTicket> {
-        self.servers.get_mut(server).map(|it| it.begin(now))
+    fn begin(
+        &mut self,
+        server: &ServerName,
+        allowed: Duration,
+        now: MonoTime,
+    ) -> Option<CallTicket> {
+        self.servers.get_mut(server).map(|it| it.begin(allowed, now))
     }
 
     /// Notes how a call ended.
@@ -184,10 +204,10 @@
     }
 
     /// Time after which a second server should be tried, when the policy tries one.
-    pub fn hedge_after(&self) -> Option<std::time::Duration> {
+    pub fn hedge_after(&self) -> Option<Duration> {
         let seconds = self.slow.value().max(MIN_HEDGE_SECONDS);
         match self.policy {
-            BalancerPolicy::Adaptive => Some(std::time::Duration::from_secs_f64(seconds)),
+            BalancerPolicy::Adaptive => Some(Duration::from_secs_f64(seconds)),
             _ => None,
         }
     }
@@ -208,7 +228,10 @@
     }
 
     fn has_room(&self, server: &ServerName, now: MonoTime) -> bool {
-        self.servers.get(server).is_none_or(|it| it.has_room(now))
+        let is_limited = self.policy == BalancerPolicy::Adaptive;
+        self.servers
+            .get(server)
+            .is_none_or(|it| it.has_room(now) && (!is_limited || it.is_below_limit()))
     }
 
     /// Notes that a probe found a lost server alive.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,6 +5,7 @@
 mod admission;
 mod balancer;
 mod budget;
+mod concurrency;
 mod quantile;
 mod server_view;
 mod warmup;
@@ -12,6 +13,7 @@
 pub use admission::{AdmissionLimits, admit};
 pub use balancer::{BalancerPolicy, Candidate, ServiceBalancer};
 pub use budget::RetryBudget;
+pub use concurrency::{CallPace, ConcurrencyLimit};
 pub use quantile::QuantileTracker;
 pub use server_view::{CallResult, CallTicket, ServerProfile, ServerView};
 pub use warmup::{ColdProfile, RouterShare, WarmupState};
--- a/crates/policy/src/server_view.rs
+++ b/crates/policy/src/server_view.rs
@@ -4,7 +4,7 @@
 
 use model::MonoTime;
 
-use crate::{ColdProfile, RouterShare, WarmupState};
+use crate::{CallPace, ColdProfile, ConcurrencyLimit, RouterShare, WarmupState};
 
 /// What the sheet says a server can bear, and how many routers share it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -19,6 +19,30 @@
     pub share: RouterShare,
 }
 
+impl ServerProfile {
+    /// Connections that one router may use at the most.
+    pub fn router_share(&self) -> u32 {
+        (self.connections / self.share.n_routers.max(1)).max(self.slots).max(1)
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+struct OpenCall {
+    started_at: MonoTime,
+    allowed: Duration,
+}
+
+/// How a call used its time, unless its end says nothing of that.
+fn call_pace(result: CallResult, age: Duration, allowed: Duration) -> Option<CallPace> {
+    let percent = age.as_micros() * 100 / allowed.as_micros().max(1);
+    match result {
+        CallResult::Answered => Some(CallPace::Answered(percent as u32)),
+        CallResult::Abandoned if percent >= MISSED_PERCENT => Some(CallPace::Missed),
+        CallResult::Shed => Some(CallPace::Missed),
+        _ => None,
+    }
+}
+
 /// One open call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CallTicket(u64);
@@ -43,6 +67,9 @@
 /// Weight of the newest latency in the average.
 const LATENCY_GAIN: f64 = 0.1;
 
+/// Share of its time, in percent, after which a call that was given up counts as missed.
+const MISSED_PERCENT: u128 = 90;
+
 /// Assumed length of a call that was given up, in units of its age.
 const STRAGGLE_FACTOR: f64 = 3.0;
 
@@ -65,7 +92,8 @@
 #[derive(Debug, Clone)]
 pub struct ServerView {
     profile: ServerProfile,
-    open: BTreeMap<CallTicket, MonoTime>,
+    open: BTreeMap<CallTicket, OpenCall>,
+    limit: ConcurrencyLimit,
     next_ticket: u64,
     latency: Option<f64>,
     /// Estimated seconds of a call that was given up, and when that was.
@@ -82,6 +110,7 @@
         Self {
             profile,
             open: BTreeMap::new(),
+            limit: ConcurrencyLimit::new(profile.router_share()),
             next_ticket: 0,
             latency: None,
             straggled: None,
@@ -95,13 +124,14 @@
     /// Takes a changed profile from the sheet.
     pub fn set_profile(&mut self, profile: ServerProfile) {
         self.profile = profile;
+        self.limit.set_highest(profile.router_share());
     }
 
-    /// Notes that a call is sent.
-    pub fn begin(&mut self, now: MonoTime) -> CallTicket {
+    /// Notes that a call is sent which has `allowed` until its deadline.
+    pub fn begin(&mut self, allowed: Duration, now: MonoTime) -> CallTicket {
         let ticket = CallTicket(self.next_ticket);
         self.next_ticket += 1;
-        self.open.insert(ticket, now);
+        self.open.insert(ticket, OpenCall { started_at: now, allowed });
         ticket
     }
 
@@ -114,8 +144,11 @@
         hint: Option<u32>,
         now: MonoTime,
     ) -> Option<Duration> {
-        let started_at = self.open.remove(&ticket)?;
+        let OpenCall { started_at, allowed } = self.open.remove(&ticket)?;
         let age = now.since(started_at).as_secs_f64();
+        if let Some(pace) = call_pace(result, now.since(started_at), allowed) {
+            self.limit.note(pace, now);
+        }
         self.note_warmth(result, now);
         match result {
             CallResult::Answered => {
@@ -171,6 +204,11 @@
         self.warmup == WarmupState::Lost
     }
 
+    /// Whether the limit on open calls leaves room for one more.
+    pub fn is_below_limit(&self) -> bool {
+        self.open.len() < self.limit.value()
+    }
+
     /// Whether the warm-up leaves room for one more call.
     pub fn has_room(&self, now: MonoTime) -> bool {
         let allowance = self.warmup.aged(self.profile.cold, now).allowance(
@@ -188,7 +226,7 @@
 
     /// Age of the oldest call under way.
     pub fn oldest_age(&self, now: MonoTime) -> Duration {
-        self.open.values().next().map_or(Duration::ZERO, |it| now.since(*it))
+        self.open.values().next().map_or(Duration::ZERO, |it| now.since(it.started_at))
     }
 
     /// Average seconds to a whole answer.
--- a/crates/policy/tests/it/balancer.rs
+++ b/crates/policy/tests/it/balancer.rs
@@ -8,7 +8,7 @@
     ServiceBalancer, admit,
 };
 
-use crate::{at, profile};
+use crate::{ALLOWED, at, profile};
 
 fn name(idx: usize) -> ServerName {
     ServerName::try_from(format!("s{idx}").as_str()).unwrap()
@@ -29,10 +29,10 @@
     let mut balancer = balancer(BalancerPolicy::Adaptive, 2);
     let candidates = candidates(2);
     for idx in 0..2 {
-        let call = balancer.begin_first(&name(idx), at(0)).unwrap();
+        let call = balancer.begin_first(&name(idx), ALLOWED, at(0)).unwrap();
         balancer.finish(&name(idx), call, CallResult::Answered, None, at(5));
     }
-    balancer.begin_first(&name(0), at(10));
+    balancer.begin_first(&name(0), ALLOWED, at(10));
     let chosen: Vec<ServerName> =
         (0..20).filter_map(|_| balancer.choose(&candidates, &[], at(60))).collect();
     assert!(chosen.iter().all(|it| *it == name(1)), "{chosen:?}");
@@ -61,7 +61,7 @@
 #[test]
 fn a_failed_server_rests() {
     let mut balancer = balancer(BalancerPolicy::Adaptive, 2);
-    let call = balancer.begin_first(&name(0), at(0)).unwrap();
+    let call = balancer.begin_first(&name(0), ALLOWED, at(0)).unwrap();
     balancer.finish(&name(0), call, CallResult::Shed, None, at(1));
     for _ in 0..20 {
         assert_eq!(balancer.choose(&candidates(2), &[], at(20)), Some(name(1)));
@@ -71,10 +71,10 @@
 #[test]
 fn work_that_could_not_end_in_time_is_refused() {
     let mut view = ServerView::new(profile());
-    let call = view.begin(at(0));
+    let call = view.begin(ALLOWED, at(0));
     view.finish(call, CallResult::Answered, None, at(100));
     for _ in 0..8 {
-        view.begin(at(100));
+        view.begin(ALLOWED, at(100));
     }
     let limits = AdmissionLimits { n_routers: 1 };
     let admitted = |ms| admit(&view, limits, 0.1, Duration::from_millis(ms), at(101));
@@ -87,7 +87,7 @@
 fn a_router_uses_no_more_than_its_share_of_connections() {
     let mut view = ServerView::new(profile());
     for _ in 0..16 {
-        view.begin(at(0));
+        view.begin(ALLOWED, at(0));
     }
     let limits = AdmissionLimits { n_routers: 4 };
     let res = admit(&view, limits, 0.001, Duration::from_secs(1), at(0));
@@ -112,10 +112,10 @@
 fn a_call_that_was_given_up_keeps_new_work_away_for_a_while() {
     let mut balancer = balancer(BalancerPolicy::Adaptive, 2);
     for idx in 0..2 {
-        let call = balancer.begin_first(&name(idx), at(0)).unwrap();
+        let call = balancer.begin_first(&name(idx), ALLOWED, at(0)).unwrap();
         balancer.finish(&name(idx), call, CallResult::Answered, None, at(5));
     }
-    let call = balancer.begin_first(&name(0), at(10)).unwrap();
+    let call = balancer.begin_first(&name(0), ALLOWED, at(10)).unwrap();
     balancer.finish(&name(0), call, CallResult::Abandoned, None, at(30));
     let count = |balancer: &mut ServiceBalancer, ms| {
         let chosen = (0..40).filter_map(|_| balancer.choose(&candidates(2), &[], at(ms)));
--- a/crates/policy/tests/it/main.rs
+++ b/crates/policy/tests/it/main.rs
@@ -4,6 +4,7 @@
 
 mod balancer;
 mod budget;
+mod concurrency;
 mod warmup;
 
 use std::time::Duration;
@@ -11,6 +12,9 @@
 use model::MonoTime;
 use policy::{ColdProfile, RouterShare, ServerProfile};
 
+/// Time that a call has until its deadline.
+const ALLOWED: Duration = Duration::from_secs(1);
+
 fn at(ms: u64) -> MonoTime {
     MonoTime::from_millis(ms)
 }
--- a/crates/policy/tests/it/warmup.rs
+++ b/crates/policy/tests/it/warmup.rs
@@ -5,7 +5,7 @@
 use policy::{CallResult, ColdProfile, RouterShare, ServerView, WarmupState};
 use proptest::prelude::*;
 
-use crate::{at, profile};
+use crate::{ALLOWED, at, profile};
 
 fn sum_of_allowances(profile: ColdProfile, n_routers: u32, age_ms: u64) -> u32 {
     let state = WarmupState::Warming { since: at(0) };
@@ -48,7 +48,7 @@
 #[test]
 fn a_refused_server_gets_nothing_until_a_probe_finds_it() {
     let mut view = ServerView::new(profile());
-    let call = view.begin(at(0));
+    let call = view.begin(ALLOWED, at(0));
     view.finish(call, CallResult::Refused, None, at(1));
     assert!(view.is_lost());
     assert!(!view.has_room(at(60_000)));
@@ -59,10 +59,10 @@
 #[test]
 fn a_returned_server_is_held_to_its_cold_slots_and_then_warms() {
     let mut view = ServerView::new(profile());
-    let call = view.begin(at(0));
+    let call = view.begin(ALLOWED, at(0));
     view.finish(call, CallResult::Failed, None, at(1));
     view.note_alive(at(10));
-    view.begin(at(20));
+    view.begin(ALLOWED, at(20));
     assert!(!view.has_room(at(1_000)));
     assert!(view.has_room(at(3_900)));
 }
@@ -70,7 +70,8 @@
 #[test]
 fn a_warm_server_that_says_cold_falls_back_at_once() {
     let mut view = ServerView::new(profile());
-    let calls = [view.begin(at(0)), view.begin(at(0)), view.begin(at(0))];
+    let calls =
+        [view.begin(ALLOWED, at(0)), view.begin(ALLOWED, at(0)), view.begin(ALLOWED, at(0))];
     assert!(view.has_room(at(1)));
     view.finish(calls[0], CallResult::Cold, None, at(2));
     assert!(!view.has_room(at(2)));
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -1,6 +1,9 @@
 //! One send to one server, counted in the balancer until it ends or is given up.
 
-use std::sync::{Arc, Mutex};
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
 use backend::{BackendPort, CallFailure, ServerAnswer, ServerPeer, ServerRequest};
 use model::{
@@ -39,13 +42,16 @@
         balancer: &Arc<Mutex<ServiceBalancer>>,
         server: &ServerName,
         cause: SendCause,
+        allowed: Duration,
     ) -> Option<Self> {
         let now = state.now();
         let mut guard = lock(balancer);
         let (ticket, label) = match cause {
-            SendCause::First => (guard.begin_first(server, now), "first"),
-            SendCause::Replacement => (guard.begin_replacement(server, now), "replacement"),
-            SendCause::Again => (guard.begin_again(server, now), "again"),
+            SendCause::First => (guard.begin_first(server, allowed, now), "first"),
+            SendCause::Replacement => {
+                (guard.begin_replacement(server, allowed, now), "replacement")
+            }
+            SendCause::Again => (guard.begin_again(server, allowed, now), "again"),
         };
         drop(guard);
         let ticket = ticket?;
--- a/crates/router/src/keyed.rs
+++ b/crates/router/src/keyed.rs
@@ -144,7 +144,9 @@
         let no_owner = CallOutcome::NotRun(NotRunReason::NoOwner);
         let peer = state.server_peer(table, &route.server).ok_or(no_owner)?;
         let overloaded = CallOutcome::NotRun(NotRunReason::Overloaded);
-        let call = OpenCall::begin(state, balancer, &route.server, cause).ok_or(overloaded)?;
+        let allowed = routed.left(state.now());
+        let call =
+            OpenCall::begin(state, balancer, &route.server, cause, allowed).ok_or(overloaded)?;
         state.count_slice(&route.slice);
         let guard = state.inflight.enter(&route.slice, route.token);
         let slice = Some((route.slice.slice, route.token));
@@ -177,7 +179,9 @@
             return first.await;
         }
         let slice = Some((route.slice.slice, route.token));
-        let second = OpenCall::begin(self.state, self.balancer, &route.server, SendCause::Again);
+        let allowed = self.routed.left(self.state.now());
+        let second =
+            OpenCall::begin(self.state, self.balancer, &route.server, SendCause::Again, allowed);
         let answer = async {
             match second {
                 Some(call) => first_answer(first, send(call, peer, self.routed, slice)).await,
--- a/crates/router/src/shared_service.rs
+++ b/crates/router/src/shared_service.rs
@@ -37,7 +37,9 @@
         open: Vec::new(),
         last: CallOutcome::NotRun(NotRunReason::NoServer),
     };
-    run.send_next(SendCause::First);
+    if !run.send_next(SendCause::First) && run.has_candidates() {
+        return Err(CallOutcome::NotRun(NotRunReason::Overloaded));
+    }
     run.finish().await
 }
 
@@ -61,7 +63,9 @@
         let Some(peer) = self.state.server_peer(&table, &server) else {
             return false;
         };
-        let Some(call) = OpenCall::begin(self.state, self.balancer, &server, cause) else {
+        let allowed = self.routed.left(self.state.now());
+        let opened = OpenCall::begin(self.state, self.balancer, &server, cause, allowed);
+        let Some(call) = opened else {
             return false;
         };
         self.tried.push(server.clone());
@@ -70,6 +74,12 @@
         true
     }
 
+    /// Whether the service has any server that may take new work, be it full.
+    fn has_candidates(&self) -> bool {
+        let table = self.state.table();
+        table.candidates.get(&self.routed.spec.name).is_some_and(|it| !it.is_empty())
+    }
+
     fn choose(&self, table: &RoutingTable) -> Option<ServerName> {
         if self.tried.len() >= MAX_SENDS {
             return None;
