ownership, planner: give news of maps and homes as changes

Cause: docs/CAPACITY.md: each change of any slice sent the whole map (270 KB at the stated size) to all 600 routers of a domain, each change of a home the whole table (3.3 MB), against 12 KB/s. Change: planners remember the last 8 maps and tables and answer waiting calls with what changed since the asker's, by digest or revision, in full when they do not remember it.

--- a/crates/ownership/benches/slopes.rs
+++ b/crates/ownership/benches/slopes.rs
@@ -15,9 +15,9 @@
     SheetRevision, SliceId, SliceKey, Term, VmName, WallTime,
 };
 use ownership::{
-    DomainMap, DomainPlanner, GrantAnswer, HomesTable, LeaseAnswer, LeaseAsk, LeaseTiming,
+    DomainMap, DomainPlanner, GrantAnswer, HomesTable, LeaseAnswer, LeaseAsk, LeaseTiming, MapNews,
     MapStamp, OwnerEntry, PlannerAction, PlannerEvent, PlannerIdentity, RouterView, SheetDoc,
-    SlicePhase, StoredRecord, VmId, WriteOutcome, initial_homes,
+    SlicePhase, StoredRecord, VmId, WriteOutcome, initial_homes, map_digest,
 };
 use sheet::PlanSheet;
 
@@ -81,6 +81,20 @@
     let bytes = encoded(&*map) as f64 / n_slices as f64;
     let json = serde_json::to_string(&*map).unwrap().len() as f64 / n_slices as f64;
     println!("slices={n_slices} map_bytes_per_slice={bytes:.1} record_bytes_per_slice={json:.1}");
+    let mut next = DomainMap::clone(&map);
+    next.stamp.version = MapVersion(10);
+    if let Some(entry) = next.entries.values_mut().next() {
+        entry.phase = SlicePhase::Moving;
+    }
+    let news = MapNews::between(&map, &next);
+    let digest = per_call(100, || {
+        black_box(map_digest(&map));
+    });
+    println!(
+        "slices={n_slices} one_slice_news_bytes={} map_digest_us={:.1}",
+        encoded(&news),
+        digest / 1e3
+    );
     let mut view = RouterView::default();
     let now = MonoTime::from_millis(1);
     view.take_map(&map);
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -3,6 +3,7 @@
 //! Everything here is a pure state machine. Each deciding function takes the present time and
 //! returns what the caller must do; sockets and timers live in the `router` and `planner` crates.
 
+mod delta;
 mod homes;
 mod map;
 mod messages;
@@ -12,6 +13,7 @@
 mod timing;
 mod witness;
 
+pub use delta::{EntryChanges, HomesNews, MapDelta, MapNews, map_digest};
 pub use homes::{HomeEntry, HomesTable, initial_homes, plan_releases};
 pub use map::{DomainMap, MapStamp, OwnerEntry, PreviousOwner, SlicePhase, VmId, quorum_size};
 pub use messages::{
--- a/crates/ownership/tests/it/main.rs
+++ b/crates/ownership/tests/it/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(missing_docs, clippy::unwrap_used)]
 
+mod delta;
 mod handover;
 mod invariants;
 mod placement;
--- a/crates/peer/src/messages.rs
+++ b/crates/peer/src/messages.rs
@@ -7,7 +7,7 @@
     CallOutcome, Incarnation, RequestId, ServerName, ServiceName, SheetRevision, SliceKey, VmName,
 };
 use ownership::{
-    AcceptAnswer, AcceptAsk, DomainMap, HomesTable, LeaseAnswer, LeaseAsk, MapStamp, PrepareAnswer,
+    AcceptAnswer, AcceptAsk, HomesNews, LeaseAnswer, LeaseAsk, MapNews, MapStamp, PrepareAnswer,
     PrepareAsk,
 };
 use serde::{Deserialize, Serialize};
@@ -79,6 +79,8 @@
     pub map: Option<MapStamp>,
     /// Open slices in its map.
     pub n_open: u32,
+    /// Digest of its map; news comes as changes to it where that is possible.
+    pub map_digest: u64,
     /// Notices of cold servers that it has seen lately.
     pub known_cold: Vec<u64>,
     /// Longest wait for news.
@@ -93,9 +95,9 @@
     /// A newer sheet.
     pub sheet: Option<SheetText>,
     /// Newer homes.
-    pub homes: Option<HomesTable>,
+    pub homes: Option<HomesNews>,
     /// A newer map.
-    pub map: Option<Arc<DomainMap>>,
+    pub map: Option<MapNews>,
     /// Servers found cold lately.
     pub cold: Vec<ColdNotice>,
 }
--- a/crates/planner/src/control.rs
+++ b/crates/planner/src/control.rs
@@ -116,7 +116,7 @@
     fn carry_out(&mut self, action: PlannerAction, actor: &Address<Self>) {
         match action {
             PlannerAction::Publish(map) => {
-                self.state.published.send_modify(|it| it.map = Some(map));
+                self.state.published.send_modify(|it| it.set_map(Some(map)));
             }
             PlannerAction::RoleChanged { role, term } => {
                 info!(self.state.log, "role-changed"; "role" => role, "term" => term.0);
@@ -137,11 +137,13 @@
                 || it.sheet.as_ref().map(|s| s.revision) != revision;
             if is_news {
                 it.is_acting = is_acting;
-                it.homes = Arc::new(HomesTable::clone(homes));
                 it.sheet = self.sheet.clone();
+                if it.homes.revision != homes.revision {
+                    it.set_homes(HomesTable::clone(homes));
+                }
             }
             if !is_acting {
-                it.map = None;
+                it.set_map(None);
             }
             is_news
         });
--- a/crates/planner/src/publication.rs
+++ b/crates/planner/src/publication.rs
@@ -1,9 +1,9 @@
 //! What routers and other planners may learn from this planner, and waiting for news of it.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::VecDeque, sync::Arc, time::Duration};
 
 use model::{MonoTime, SheetRevision};
-use ownership::{DomainMap, HomesTable};
+use ownership::{DomainMap, HomesNews, HomesTable, MapNews, map_digest};
 use peer::{ColdNotice, SheetText, WatchAsk, WatchNews};
 use tokio::sync::watch;
 
@@ -13,12 +13,19 @@
     pub(crate) is_acting: bool,
     pub(crate) sheet: Option<SheetText>,
     pub(crate) homes: Arc<HomesTable>,
+    /// Tables that came before, newest last.
+    past_homes: VecDeque<Arc<HomesTable>>,
     /// The committed map, while this planner acts.
-    pub(crate) map: Option<Arc<DomainMap>>,
+    map: Option<Arc<DomainMap>>,
+    /// Maps that came before, newest last, each with its digest.
+    past_maps: VecDeque<(u64, Arc<DomainMap>)>,
     /// Servers found cold lately, with the time of each notice.
     cold: Vec<(ColdNotice, MonoTime)>,
 }
 
+/// Earlier maps and tables from which news can be given as changes.
+const MAX_PAST: usize = 8;
+
 /// Time for which a notice of a cold server is passed on.
 const COLD_NOTICE_LIFETIME: Duration = Duration::from_secs(2);
 
@@ -27,6 +34,39 @@
         self.sheet.as_ref().map_or_else(SheetRevision::default, |it| it.revision)
     }
 
+    /// Publishes a map, or none once this planner acts no more.
+    pub(crate) fn set_map(&mut self, map: Option<Arc<DomainMap>>) {
+        if let Some(old) = std::mem::replace(&mut self.map, map) {
+            remember(&mut self.past_maps, (map_digest(&old), old));
+        }
+        if self.map.is_none() {
+            self.past_maps.clear();
+        }
+    }
+
+    /// Publishes newer homes.
+    pub(crate) fn set_homes(&mut self, homes: HomesTable) {
+        let old = std::mem::replace(&mut self.homes, Arc::new(homes));
+        remember(&mut self.past_homes, old);
+    }
+
+    /// The map, as changes to the asker's when that is remembered.
+    fn map_news(&self, map: &Arc<DomainMap>, ask: &WatchAsk) -> MapNews {
+        let base = self.past_maps.iter().find(|(digest, _)| *digest == ask.map_digest);
+        match base {
+            Some((_, base)) => MapNews::between(base, map),
+            None => MapNews::Full(map.clone()),
+        }
+    }
+
+    /// The homes, as changes to the asker's when they are remembered.
+    fn homes_news(&self, ask: &WatchAsk) -> HomesNews {
+        match self.past_homes.iter().find(|it| it.revision == ask.homes) {
+            Some(base) => HomesNews::between(base, &self.homes),
+            None => HomesNews::Full(HomesTable::clone(&self.homes)),
+        }
+    }
+
     /// Notes that a server was found cold. Returns false for a notice that is known.
     pub(crate) fn note_cold(&mut self, notice: ColdNotice, now: MonoTime) -> bool {
         self.cold.retain(|(_, at)| now.since(*at) < COLD_NOTICE_LIFETIME);
@@ -53,8 +93,8 @@
         let news = WatchNews {
             is_acting: self.is_acting,
             sheet: self.sheet.clone().filter(|_| ask.sheet < self.sheet_revision()),
-            homes: (ask.homes < self.homes.revision).then(|| HomesTable::clone(&self.homes)),
-            map: self.map.as_ref().filter(is_newer_map).cloned(),
+            homes: (ask.homes < self.homes.revision).then(|| self.homes_news(ask)),
+            map: self.map.as_ref().filter(is_newer_map).map(|it| self.map_news(it, ask)),
             cold: self
                 .cold
                 .iter()
@@ -70,6 +110,13 @@
     }
 }
 
+fn remember<T>(past: &mut VecDeque<T>, item: T) {
+    past.push_back(item);
+    if past.len() > MAX_PAST {
+        past.pop_front();
+    }
+}
+
 /// Answers at the first news, or with none when the wait is over.
 pub(crate) async fn await_news(
     mut published: watch::Receiver<Publication>,
--- a/crates/planner/src/relay.rs
+++ b/crates/planner/src/relay.rs
@@ -126,7 +126,9 @@
             WatchedDomain::Other(_) => true,
         });
         if let Some(news) = news {
-            take_news(news, is_useful && watched == WatchedDomain::Own, &actor).await;
+            let is_own_planner = is_useful && watched == WatchedDomain::Own;
+            let held = state.published.borrow().homes.clone();
+            take_news(news, &held, is_own_planner, &actor).await;
         }
         if !is_useful {
             idx += 1;
@@ -161,6 +163,7 @@
             homes: published.homes.revision,
             map: None,
             n_open: 0,
+            map_digest: 0,
             known_cold: published.known_cold(),
             wait: PEER_WATCH_WAIT,
         }
@@ -173,7 +176,12 @@
     }
 }
 
-async fn take_news(news: WatchNews, is_own_planner: bool, actor: &Address<PlannerActor>) {
+async fn take_news(
+    news: WatchNews,
+    held: &HomesTable,
+    is_own_planner: bool,
+    actor: &Address<PlannerActor>,
+) {
     if is_own_planner {
         let _ = actor.send(Happened(PlannerEvent::PlannerHeard)).await;
     }
@@ -183,7 +191,7 @@
     if let Some(text) = news.sheet {
         let _ = actor.send(SheetArrived(text)).await;
     }
-    if let Some(table) = news.homes {
+    if let Some(table) = news.homes.and_then(|it| it.resolve(held)) {
         let _ = actor.send(Happened(PlannerEvent::HomesLearned(table))).await;
     }
 }
--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -3,7 +3,7 @@
 use std::{collections::VecDeque, net::SocketAddr, sync::Arc, time::Duration};
 
 use model::{MonoTime, SheetRevision, WallTime};
-use ownership::{DomainMap, HomesTable, LeaseAnswer, LeaseAsk, RouterView, VmId};
+use ownership::{DomainMap, HomesTable, LeaseAnswer, LeaseAsk, RouterView, VmId, map_digest};
 use peer::{PeerReply, PeerRequest, SheetText, WatchAsk, WatchNews};
 use sheet::PlanSheet;
 use slog::{info, warn};
@@ -265,8 +265,11 @@
     async fn handle(&mut self, arrived: NewsArrived, _ctx: &mut Context<Self>) {
         let NewsArrived { from, news } = arrived;
         let has_sheet = news.sheet.as_ref().is_some_and(|it| self.take_sheet(it));
-        let has_homes = news.homes.is_some_and(|it| self.take_homes(it));
-        let has_map = news.map.as_ref().is_some_and(|it| self.take_map(it));
+        let homes = news.homes.and_then(|it| it.resolve(&self.homes));
+        let has_homes = homes.is_some_and(|it| self.take_homes(it));
+        let held = self.view.map().cloned();
+        let map = news.map.as_ref().and_then(|it| it.resolve(held.as_deref()));
+        let has_map = map.is_some_and(|it| self.take_map(&it));
         for notice in &news.cold {
             self.remember_cold(notice.id);
             self.state.note_cold(notice);
@@ -304,6 +307,7 @@
             homes: self.homes.revision,
             map: Some(self.view.stamp()),
             n_open: map.map_or(0, |it| it.open_count() as u32),
+            map_digest: map.map_or(0, |it| map_digest(it)),
             known_cold: self.known_cold.iter().copied().collect(),
             wait: WATCH_WAIT,
         };
