ownership: one count of work under way for the router and the simulation

Cause: the simulation had its own copy of the rule by which a router reports drained versions, so that the router's was not tested.

--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod delta;
 mod homes;
+mod inflight;
 mod map;
 mod messages;
 mod placement;
@@ -15,6 +16,7 @@
 
 pub use delta::{EntryChanges, HomesNews, MapDelta, MapNews, map_digest};
 pub use homes::{HomeEntry, HomesTable, initial_homes, plan_releases};
+pub use inflight::InflightCounts;
 pub use map::{DomainMap, MapStamp, OwnerEntry, PreviousOwner, SlicePhase, VmId, quorum_size};
 pub use messages::{
     AcceptAnswer, AcceptAsk, GrantAnswer, GrantOrder, LeaseAnswer, LeaseAsk, PrepareAnswer,
--- a/crates/ownership/tests/it/main.rs
+++ b/crates/ownership/tests/it/main.rs
@@ -4,6 +4,7 @@
 
 mod delta;
 mod handover;
+mod inflight;
 mod invariants;
 mod placement;
 mod sessions;
--- a/crates/ownership/tests/it/sim.rs
+++ b/crates/ownership/tests/it/sim.rs
@@ -13,8 +13,9 @@
 };
 use ownership::{
     AcceptAnswer, AcceptAsk, DomainMap, DomainPlanner, GrantAnswer, GrantOrder, HomesTable,
-    LeaseAnswer, LeaseAsk, LeaseTiming, PlannerAction, PlannerEvent, PlannerIdentity,
-    PrepareAnswer, PrepareAsk, RouterView, SheetDoc, StoredRecord, VmId, WriteOutcome,
+    InflightCounts, LeaseAnswer, LeaseAsk, LeaseTiming, PlannerAction, PlannerEvent,
+    PlannerIdentity, PrepareAnswer, PrepareAsk, RouterView, SheetDoc, StoredRecord, VmId,
+    WriteOutcome,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use sheet::PlanSheet;
@@ -733,11 +734,9 @@
 }
 
 fn drained(router: &SimRouter, map: &DomainMap) -> MapVersion {
-    let newest = map.stamp.version;
-    let blocks = router.open.iter().filter_map(|(key, token, ..)| match map.entries.get(key) {
-        Some(entry) if entry.token == *token => None,
-        Some(entry) if entry.token.term == map.stamp.term => Some(entry.token.version),
-        Some(_) | None => Some(newest),
-    });
-    blocks.min().map_or(newest, |it| MapVersion(it.0.saturating_sub(1)))
+    let mut counts = InflightCounts::default();
+    for (slice, token, ..) in &router.open {
+        counts.enter(slice, *token);
+    }
+    counts.drained(map)
 }
--- a/crates/router/src/inflight.rs
+++ b/crates/router/src/inflight.rs
@@ -1,70 +1,46 @@
-//! Keyed requests under way, by the assignment under which each was sent.
+//! The router's count of keyed requests under way, shared by its threads.
 
-use std::{
-    collections::HashMap,
-    sync::{Arc, Mutex},
-};
+use std::sync::{Arc, Mutex};
 
 use model::{FencingToken, MapVersion, SliceKey};
-use ownership::DomainMap;
+use ownership::{DomainMap, InflightCounts};
+
+use crate::state::lock;
 
 /// Counts of keyed requests under way.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct InflightBook {
-    counts: Arc<Mutex<HashMap<(SliceKey, FencingToken), usize>>>,
+    counts: Arc<Mutex<InflightCounts>>,
 }
 
 /// Keeps one request counted until it is dropped.
 #[derive(Debug)]
 pub(crate) struct InflightGuard {
     book: InflightBook,
-    place: Option<(SliceKey, FencingToken)>,
+    slice: SliceKey,
+    token: FencingToken,
 }
 
 impl InflightBook {
     /// Counts a request that is about to be sent.
     pub(crate) fn enter(&self, slice: &SliceKey, token: FencingToken) -> InflightGuard {
-        let place = (slice.clone(), token);
-        *self.lock().entry(place.clone()).or_default() += 1;
-        InflightGuard { book: self.clone(), place: Some(place) }
+        lock(&self.counts).enter(slice, token);
+        InflightGuard { book: self.clone(), slice: slice.clone(), token }
     }
 
     /// The newest version such that every request sent under an older assignment has ended.
     pub(crate) fn drained(&self, map: &DomainMap) -> MapVersion {
-        let newest = map.stamp.version;
-        let blocked_by = |place: &(SliceKey, FencingToken)| match map.entries.get(&place.0) {
-            Some(entry) if entry.token == place.1 => None,
-            Some(entry) if entry.token.term == map.stamp.term => Some(entry.token.version),
-            Some(_) | None => Some(newest),
-        };
-        let oldest_block = self.lock().keys().filter_map(blocked_by).min();
-        oldest_block.map_or(newest, |it| MapVersion(it.0.saturating_sub(1)))
+        lock(&self.counts).drained(map)
     }
 
     /// Requests under way.
     pub(crate) fn total(&self) -> usize {
-        self.lock().values().sum()
-    }
-
-    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<(SliceKey, FencingToken), usize>> {
-        self.counts.lock().unwrap_or_else(|it| it.into_inner())
-    }
-
-    fn leave(&self, place: (SliceKey, FencingToken)) {
-        let mut counts = self.lock();
-        if let Some(count) = counts.get_mut(&place) {
-            *count -= 1;
-            if *count == 0 {
-                counts.remove(&place);
-            }
-        }
+        lock(&self.counts).total()
     }
 }
 
 impl Drop for InflightGuard {
     fn drop(&mut self) {
-        if let Some(place) = self.place.take() {
-            self.book.leave(place);
-        }
+        lock(&self.book.counts).leave(&self.slice, self.token);
     }
 }
