trial: nodes end with the trial that started them

Cause: a trial that was ended by a signal left its routers and planners running. Change: each node asks the kernel to end it with its parent.

--- a/crates/trial/src/main.rs
+++ b/crates/trial/src/main.rs
@@ -39,10 +39,12 @@
     match arguments.get(1).and_then(|it| it.to_str()) {
         Some("node-router") => {
             arguments.remove(1);
+            nodes::end_with_parent();
             return router::main_with(arguments);
         }
         Some("node-planner") => {
             arguments.remove(1);
+            nodes::end_with_parent();
             return planner::main_with(arguments);
         }
         _ => (),
--- a/crates/trial/src/nodes.rs
+++ b/crates/trial/src/nodes.rs
@@ -8,7 +8,7 @@
 };
 
 use eyre::WrapErr;
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::{Pid, Signal, kill_process, set_parent_process_death_signal};
 use tokio::process::{Child, Command};
 
 /// Which daemon a process is.
@@ -94,3 +94,8 @@
         self.lock().is_some()
     }
 }
+
+/// Makes this node end when the trial that started it ends, however that happens.
+pub(crate) fn end_with_parent() {
+    let _ = set_parent_process_death_signal(Some(Signal::KILL));
+}
