ownership: tokens grow although the only holder of an unsaved change is lost

Change: a change counts without the store only when two VMs hold it; a record that is founded anew gives every slice a token of the new term, and waits for the work of servers that do not check tokens too.

--- a/crates/ownership/src/planner/election.rs
+++ b/crates/ownership/src/planner/election.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use model::{MonoTime, Term};
+use model::{MonoTime, OwnerCheck, ServiceKind, Term};
 use smallvec::SmallVec;
 
 use super::{
@@ -12,7 +12,7 @@
     following::FollowingState,
     founding::Founding,
 };
-use crate::{DomainMap, MapStamp, PrepareAnswer, PrepareAsk, VmId};
+use crate::{DomainMap, MapStamp, PrepareAnswer, PrepareAsk, SlicePhase, VmId};
 
 /// Time after which an undecided election is given up.
 const ELECTION_TIMEOUT: Duration = Duration::from_millis(400);
@@ -209,8 +209,7 @@
         return;
     }
     let cold_since = *state.cold_since.get_or_insert(ctx.now);
-    let timing = &ctx.identity.timing;
-    if ctx.now.since(cold_since) < timing.authority + timing.drift_margin * 2 {
+    if ctx.now.since(cold_since) < lapse_time(ctx) {
         return;
     }
     let current = state.base.witnesses.clone();
@@ -219,9 +218,31 @@
     map.planner = ctx.identity.id.clone();
     map.witnesses = desired_witnesses(ctx, &current, |it| !ctx.book.is_dead(it));
     map.joint_witnesses = SmallVec::new();
+    assign_anew(&mut map);
     state.founding.start(map, ctx, actions);
 }
 
+/// Time after which nothing runs any more under leases that a lost planner gave.
+fn lapse_time(ctx: &PlannerContext<'_>) -> Duration {
+    let timing = &ctx.identity.timing;
+    let services = ctx.sheet.into_iter().flat_map(|it| it.sheet.services.values());
+    let unchecked =
+        services.filter(|it| matches!(it.kind, ServiceKind::Keyed { check: OwnerCheck::None, .. }));
+    let longest_work = unchecked.map(|it| it.deadline).max().unwrap_or_default();
+    timing.authority + timing.drift_margin * 2 + longest_work
+}
+
+/// Gives every slice a token of the new term. The lost planner may have made assignments that
+/// nobody alive remembers, and their tokens must stay behind too.
+fn assign_anew(map: &mut DomainMap) {
+    for entry in map.entries.values_mut() {
+        entry.token.term = map.stamp.term;
+        entry.token.version = map.stamp.version;
+        entry.previous.clear();
+        entry.phase = SlicePhase::Moving;
+    }
+}
+
 /// Whether it is proved that no planner can act under `map` any more.
 pub(super) fn is_majority_dead(map: &DomainMap, ctx: &PlannerContext<'_>) -> bool {
     let own = &ctx.identity.id;
--- a/crates/ownership/src/planner/proposal.rs
+++ b/crates/ownership/src/planner/proposal.rs
@@ -19,8 +19,8 @@
     leases::are_routers_fresh,
 };
 use crate::{
-    DomainMap, MapStamp, OwnerEntry, PlacementInput, SlicePhase, initial_homes, place_slices,
-    placement::LOAD_WINDOW_SECONDS, plan_releases,
+    DomainMap, MapStamp, OwnerEntry, PlacementInput, SlicePhase, initial_homes, map::quorum_size,
+    place_slices, placement::LOAD_WINDOW_SECONDS, plan_releases,
 };
 
 /// Time between rounds of moves that only even out load.
@@ -35,6 +35,9 @@
 /// Time that the store has to record a change of witnesses.
 const WITNESS_CHANGE_PATIENCE: Duration = Duration::from_millis(1_000);
 
+/// Fewest VMs that must hold a change which the store does not.
+const MIN_HOLDERS: usize = 2;
+
 /// A map on its way into the store.
 #[derive(Debug)]
 pub(super) struct Proposal {
@@ -109,10 +112,11 @@
 /// While the store is out of reach, the witnesses' majority makes a change durable instead.
 fn adopt_unsaved(state: &mut ActingState, ctx: &PlannerContext<'_>) {
     let patience = ctx.identity.timing.store_patience;
-    let is_overdue = state
-        .proposal
-        .as_ref()
-        .is_some_and(|it| !it.changes_witnesses && ctx.now.since(it.started_at) >= patience);
+    let is_overdue = state.proposal.as_ref().is_some_and(|it| {
+        let n_holders = it.map.quorum_sets().map(|set| quorum_size(set.len())).min();
+        let is_held = n_holders.is_some_and(|it| it >= MIN_HOLDERS);
+        is_held && !it.changes_witnesses && ctx.now.since(it.started_at) >= patience
+    });
     if let Some(proposal) = state.proposal.take_if(|_| is_overdue) {
         state.adopt(DomainMap::clone(&proposal.map));
         state.is_saved = false;
--- a/crates/ownership/tests/it/invariants.rs
+++ b/crates/ownership/tests/it/invariants.rs
@@ -116,6 +116,17 @@
         check(OwnerCheck::Token, 3, 11_503_118_875_834_996_101, &troubles);
     }
 
+    #[test]
+    fn tokens_do_not_fall_when_an_unsaved_change_is_lost_with_its_only_holder() {
+        let troubles = [
+            (236, Trouble::FreezeServer(0, 331)),
+            (496, Trouble::CutVm(0, 341)),
+            (0, Trouble::KillPlanner(0)),
+        ];
+        check(OwnerCheck::Token, 1, 30_365_327_232_494_009, &troubles);
+        check(OwnerCheck::None, 1, 30_365_327_232_494_009, &troubles);
+    }
+
     #[test]
     fn two_candidates_do_not_refuse_each_other_forever() {
         let troubles = [
