router, planner: a cold owner's keys are passed on once more, returns are told by the planner

Change: forwards carry their cause, and each cause applies once; the planner, which sees a server refuse and return, tells all routers that it starts cold.

--- a/crates/ownership/src/planner.rs
+++ b/crates/ownership/src/planner.rs
@@ -181,6 +181,8 @@
         /// To be returned with the answer.
         sent_at: MonoTime,
     },
+    /// A server whose process had ended answers again; routers must treat it as cold.
+    ServerReturned(ServerName),
     /// Routers may learn this map.
     Publish(Arc<DomainMap>),
     /// The role changed; for the log.
--- a/crates/ownership/src/planner/acting.rs
+++ b/crates/ownership/src/planner/acting.rs
@@ -13,7 +13,7 @@
     candidates::greet,
     election::{ElectionState, is_majority_dead},
     following::FollowingState,
-    grants::{self, ServerEntry},
+    grants::{self, ServerEntry, ServerState},
     handover::{self, Handover},
     leases::{self, RouterEntry},
     proposal::{self, Proposal},
@@ -215,7 +215,13 @@
             None
         }
         PlannerEvent::ServerAnswered { server, sent_at, answer } => {
-            grants::take_answer(state, server, *sent_at, answer, ctx)
+            let was = state.server_state(server);
+            let next = grants::take_answer(state, server, *sent_at, answer, ctx);
+            let is = state.server_state(server);
+            if (was, is) == (ServerState::Dead, ServerState::Alive) {
+                actions.push(PlannerAction::ServerReturned(server.clone()));
+            }
+            next
         }
         PlannerEvent::LoadsReported(loads) => {
             proposal::take_loads(state, loads);
--- a/crates/peer/src/messages.rs
+++ b/crates/peer/src/messages.rs
@@ -134,6 +134,17 @@
     pub deadline_left: Duration,
     /// Revision of the homes by which it was forwarded.
     pub homes: u64,
+    /// Why it was forwarded.
+    pub cause: ForwardCause,
+}
+
+/// Why a request is forwarded; each cause applies once, so that no request goes in circles.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ForwardCause {
+    /// The receiver's domain is home to the key.
+    Home,
+    /// The owner is cold, and the receiver may send to it first.
+    ColdOwner,
 }
 
 /// What became of a forwarded request.
--- a/crates/peer/tests/it/main.rs
+++ b/crates/peer/tests/it/main.rs
@@ -54,6 +54,7 @@
         body: Bytes::from(body),
         deadline_left: Duration::from_millis(5),
         homes: 1,
+        cause: peer::ForwardCause::Home,
     })
 }
 
--- a/crates/planner/src/control.rs
+++ b/crates/planner/src/control.rs
@@ -5,7 +5,7 @@
     sync::Arc,
 };
 
-use model::{DomainName, Incarnation, MonoTime, SheetRevision, SliceKey};
+use model::{DomainName, Incarnation, MonoTime, ServerName, SheetRevision, SliceKey};
 use ownership::{
     AcceptAnswer, AcceptAsk, DomainPlanner, HomesTable, LeaseAnswer, LeaseAsk, PlannerAction,
     PlannerDump, PlannerEvent, PlannerIdentity, PrepareAnswer, PrepareAsk, SheetDoc, VmId,
@@ -118,6 +118,7 @@
             PlannerAction::Publish(map) => {
                 self.state.published.send_modify(|it| it.set_map(Some(map)));
             }
+            PlannerAction::ServerReturned(server) => self.tell_cold(server),
             PlannerAction::RoleChanged { role, term } => {
                 info!(self.state.log, "role-changed"; "role" => role, "term" => term.0);
                 self.state.metrics.is_acting.set(i64::from(self.planner.is_acting()));
@@ -126,6 +127,17 @@
         }
     }
 
+    /// Tells all routers that a server starts cold.
+    fn tell_cold(&self, server: ServerName) {
+        let row = self.planner.sheet().and_then(|it| it.sheet.servers.get(&server));
+        let Some(service) = row.map(|it| it.service.clone()) else {
+            return;
+        };
+        let notice = ColdNotice { id: rand::random(), service, server };
+        let now = self.state.clock.now();
+        self.state.published.send_if_modified(|it| it.note_cold(notice, now));
+    }
+
     /// Publishes the homes, the sheet and the role when they have changed.
     fn publish(&mut self) {
         let is_acting = self.planner.is_acting();
--- a/crates/planner/src/execute.rs
+++ b/crates/planner/src/execute.rs
@@ -95,8 +95,10 @@
                 feed(&actor, PlannerEvent::ServerAnswered { server, sent_at, answer }).await;
             });
         }
-        // These two need the actor itself.
-        PlannerAction::Publish(_) | PlannerAction::RoleChanged { .. } => (),
+        // These need the actor itself.
+        PlannerAction::Publish(_)
+        | PlannerAction::ServerReturned(_)
+        | PlannerAction::RoleChanged { .. } => (),
     }
 }
 
--- a/crates/policy/src/server_view.rs
+++ b/crates/policy/src/server_view.rs
@@ -199,6 +199,11 @@
         self.warmup = self.warmup.found_cold(now);
     }
 
+    /// Whether the server is warm, as far as this router knows.
+    pub fn warmup(&self) -> WarmupState {
+        self.warmup
+    }
+
     /// Whether the server has to be probed before it is given anything.
     pub fn is_lost(&self) -> bool {
         self.warmup == WarmupState::Lost
--- a/crates/router/src/forward.rs
+++ b/crates/router/src/forward.rs
@@ -6,7 +6,7 @@
 use model::{
     CallOutcome, DomainName, Idempotency, NotRunReason, ServiceKind, UnknownReason, hash_key,
 };
-use peer::{ForwardAsk, ForwardReply, PeerReply, PeerRequest};
+use peer::{ForwardAsk, ForwardCause, ForwardReply, PeerReply, PeerRequest};
 use sheet::{VmRow, WorkState};
 use tokio::time::error::Elapsed;
 
@@ -35,17 +35,18 @@
 ) -> Result<ServerAnswer, CallOutcome> {
     let table = state.table();
     let rows = home_vms(&table, state, home);
-    send_to_first(state, routed, &table, &rows).await
+    send_to_first(state, routed, &table, &rows, ForwardCause::Home).await
 }
 
-/// Sends a request to one other router.
+/// Sends a request to the router that may send to a cold owner first.
 pub(crate) async fn send_to_vm(
     state: &Arc<RouterState>,
     routed: &RoutedRequest,
     table: &RoutingTable,
     row: &VmRow,
 ) -> Result<ServerAnswer, CallOutcome> {
-    send_to_first(state, routed, table, std::slice::from_ref(row)).await
+    let rows = std::slice::from_ref(row);
+    send_to_first(state, routed, table, rows, ForwardCause::ColdOwner).await
 }
 
 /// Sends a request to the first of these routers that can be reached, and to the next while the
@@ -55,6 +56,7 @@
     routed: &RoutedRequest,
     table: &RoutingTable,
     rows: &[VmRow],
+    cause: ForwardCause,
 ) -> Result<ServerAnswer, CallOutcome> {
     let mut last = CallOutcome::NotRun(NotRunReason::ConnectFailed);
     for row in rows {
@@ -71,7 +73,7 @@
             PeerHealth::doubt(state, row.router);
             continue;
         };
-        let request = PeerRequest::Forward(forward_ask(routed, table, left));
+        let request = PeerRequest::Forward(forward_ask(routed, table, left, cause));
         let sent = await_reply(state, table, &row.domain, call.send(&request), left).await;
         let outcome = match sent {
             Ok(Ok(PeerReply::Forward(ForwardReply::Answered { status, headers, body }))) => {
@@ -131,7 +133,12 @@
     rows
 }
 
-fn forward_ask(routed: &RoutedRequest, table: &RoutingTable, left: Duration) -> ForwardAsk {
+fn forward_ask(
+    routed: &RoutedRequest,
+    table: &RoutingTable,
+    left: Duration,
+    cause: ForwardCause,
+) -> ForwardAsk {
     let ServerRequest { id, service, method, path, headers, body, .. } = routed.request.clone();
     ForwardAsk {
         id,
@@ -143,6 +150,7 @@
         body,
         deadline_left: left.saturating_sub(RETURN_ALLOWANCE),
         homes: table.homes.revision,
+        cause,
     }
 }
 
@@ -168,7 +176,7 @@
     let routed = RoutedRequest {
         idempotency: spec.idempotency(&ask.method),
         deadline: now + deadline_left,
-        origin: RequestOrigin::Router,
+        origin: RequestOrigin::Router(ask.cause),
         spec: Arc::new(spec.clone()),
         key: ask.key,
         request: ServerRequest {
--- a/crates/router/src/keyed.rs
+++ b/crates/router/src/keyed.rs
@@ -8,6 +8,7 @@
 use backend::{CallFailure, ServerAnswer, ServerPeer};
 use model::{CallOutcome, Idempotency, KeyHash, MonoTime, NotRunReason, SliceId, UnknownReason};
 use ownership::OwnerRoute;
+use peer::ForwardCause;
 use policy::{AdmissionLimits, ServiceBalancer, admit};
 
 use crate::{
@@ -120,7 +121,7 @@
     ) -> Result<ServerAnswer, CallOutcome> {
         let res = self.serve_at(table, route, cause).await;
         if !matches!(res, Err(CallOutcome::NotRun(NotRunReason::ColdServer)))
-            || self.routed.origin == RequestOrigin::Router
+            || self.routed.origin == RequestOrigin::Router(ForwardCause::ColdOwner)
         {
             return res;
         }
--- a/crates/router/src/operator_edge.rs
+++ b/crates/router/src/operator_edge.rs
@@ -48,6 +48,7 @@
                             "latency_ms": it.latency().map(|s| s * 1e3),
                             "oldest_ms": it.oldest_age(now).as_millis() as u64,
                             "paused": it.is_paused(now),
+                            "warmup": format!("{:?}", it.warmup()),
                         })
                     })
                     .collect();
--- a/crates/router/src/traffic.rs
+++ b/crates/router/src/traffic.rs
@@ -11,6 +11,7 @@
     CallOutcome, Idempotency, MonoTime, NotRunReason, RequestId, ServiceKind, ServiceSpec, hash_key,
 };
 use ownership::LeaseTiming;
+use peer::ForwardCause;
 
 use crate::{forward, keyed, shared_service, state::RouterState};
 
@@ -31,8 +32,8 @@
 pub(crate) enum RequestOrigin {
     /// A caller sent it to this router.
     Caller,
-    /// Another router forwarded it; it is not forwarded again.
-    Router,
+    /// Another router forwarded it.
+    Router(ForwardCause),
 }
 
 impl RoutedRequest {
