router: refuse callers on a VM that the sheet has taken out, after the balancer's time

Cause: a VM taken out by sheet told the balancer so, but went on serving whoever still came. Change: after leave_grace such a router refuses callers as leaving, until the sheet takes the VM in again.

--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -1,11 +1,16 @@
 //! The control thread's actor: keeps the lease and the newest sheet, homes and map.
 
-use std::{collections::VecDeque, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::VecDeque,
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use model::{MonoTime, SheetRevision, WallTime};
 use ownership::{DomainMap, HomesTable, LeaseAnswer, LeaseAsk, RouterView, VmId, map_digest};
 use peer::{PeerReply, PeerRequest, SheetText, WatchAsk, WatchNews};
-use sheet::PlanSheet;
+use sheet::{PlanSheet, WorkState};
 use slog::{info, warn};
 use xtra::prelude::*;
 
@@ -40,6 +45,8 @@
     candidates_at: Option<WallTime>,
     loads_at: MonoTime,
     known_cold: VecDeque<u64>,
+    /// Since when the sheet gives this VM no new work.
+    out_since: Option<MonoTime>,
 }
 
 /// Notices of cold servers that are remembered.
@@ -80,6 +87,7 @@
             candidates_at: None,
             loads_at: MonoTime::default(),
             known_cold: VecDeque::new(),
+            out_since: None,
         }
     }
 
@@ -171,6 +179,22 @@
         });
     }
 
+    /// Refuses callers once the sheet has taken this VM out and the balancer has had its time.
+    fn close_when_out(&mut self, now: MonoTime) {
+        let vm = &self.state.settings.identity.vm;
+        let is_listed = self.sheet.vms.contains_key(vm);
+        let work = self.sheet.vm_work(vm, self.state.clock.wall());
+        self.out_since = match work {
+            WorkState::Draining if is_listed => self.out_since.or(Some(now)),
+            _ => None,
+        };
+        if !self.state.is_leaving.load(Ordering::Relaxed) {
+            let grace = self.state.settings.leave_grace;
+            let is_closed = self.out_since.is_some_and(|it| now.since(it) >= grace);
+            self.state.is_closed.store(is_closed, Ordering::Relaxed);
+        }
+    }
+
     /// Passes notices of cold servers to the acting planner.
     fn report_cold(&mut self) {
         let Some(target) = self.acting else { return };
@@ -226,6 +250,7 @@
         }
         self.report_loads(now);
         self.report_cold();
+        self.close_when_out(now);
         if self.candidates_at.is_some_and(|it| it != self.state.clock.wall()) {
             self.publish();
         }
--- a/crates/trial/src/deployment.rs
+++ b/crates/trial/src/deployment.rs
@@ -136,9 +136,10 @@
         for vm in &self.vms {
             let [(router, _), (planner, _)] = vm.gated();
             text += &format!(
-                "vm,{},{},,{router},in,,,planner={planner};operator={};planner-operator={}\n",
+                "vm,{},{},,{router},{},,,planner={planner};operator={};planner-operator={}\n",
                 vm.name,
                 domain_name(vm.domain),
+                state(&vm.name),
                 vm.router_operator(),
                 vm.planner_operator()
             );
