--- a/crates/ownership/tests/it/main.rs
+++ b/crates/ownership/tests/it/main.rs
@@ -7,6 +7,7 @@
 mod inflight;
 mod invariants;
 mod placement;
+mod revisions;
 mod sessions;
 mod sim;
 mod witness;
