router: look services up by name

Cause: each request searched the sheet's services one by one. Change: names borrow as text, and the look-up uses the map.

--- a/crates/model/src/names.rs
+++ b/crates/model/src/names.rs
@@ -1,6 +1,6 @@
 //! Immutable, cheaply cloned names of the things a sheet lists.
 
-use std::{fmt, sync::Arc};
+use std::{borrow::Borrow, fmt, sync::Arc};
 
 use serde::{Deserialize, Serialize};
 
@@ -22,6 +22,12 @@
             }
         }
 
+        impl Borrow<str> for $name {
+            fn borrow(&self) -> &str {
+                &self.0
+            }
+        }
+
         impl TryFrom<&str> for $name {
             type Error = InvalidValue;
 
--- a/crates/router/src/table.rs
+++ b/crates/router/src/table.rs
@@ -28,7 +28,7 @@
 impl RoutingTable {
     /// The service's definition.
     pub(crate) fn service(&self, name: &str) -> Option<&ServiceSpec> {
-        self.sheet.services.values().find(|it| it.name.as_str() == name)
+        self.sheet.services.get(name)
     }
 
     /// The home of a key, unless its slice has none yet.
