--- a/crates/planner/src/control.rs
+++ b/crates/planner/src/control.rs
@@ -150,6 +150,7 @@
             if is_news {
                 it.is_acting = is_acting;
                 it.sheet = self.sheet.clone();
+                it.plan = self.planner.sheet().map(|doc| doc.sheet.clone());
                 if it.homes.revision != homes.revision {
                     it.set_homes(HomesTable::clone(homes));
                 }
--- a/crates/planner/src/publication.rs
+++ b/crates/planner/src/publication.rs
@@ -5,6 +5,7 @@
 use model::{MonoTime, SheetRevision};
 use ownership::{DomainMap, HomesNews, HomesTable, MapNews, map_digest};
 use peer::{ColdNotice, SheetText, WatchAsk, WatchNews};
+use sheet::PlanSheet;
 use tokio::sync::watch;
 
 /// The newest of everything that is published.
@@ -12,6 +13,8 @@
 pub(crate) struct Publication {
     pub(crate) is_acting: bool,
     pub(crate) sheet: Option<SheetText>,
+    /// The same sheet, checked.
+    pub(crate) plan: Option<Arc<PlanSheet>>,
     pub(crate) homes: Arc<HomesTable>,
     /// Tables that came before, newest last.
     past_homes: VecDeque<Arc<HomesTable>>,
--- a/crates/planner/src/relay.rs
+++ b/crates/planner/src/relay.rs
@@ -6,7 +6,6 @@
 use ownership::{HomesTable, PlannerEvent};
 use peer::{PeerReply, PeerRequest, SheetText, WatchAsk, WatchNews};
 use platform::{HOMES_KEY, PlatformStore, SHEET_KEY, SheetRecord, StoreValue};
-use sheet::PlanSheet;
 use xtra::prelude::*;
 
 use crate::control::{ColdArrived, Happened, PlannerActor, PlannerState, SheetArrived};
@@ -138,10 +137,8 @@
 }
 
 fn watch_targets(state: &PlannerState, watched: &WatchedDomain) -> Vec<SocketAddr> {
-    let published = state.published.borrow().sheet.clone();
     let identity = &state.settings.identity;
-    let sheet = published.and_then(|it| PlanSheet::try_from(&*it.text).ok());
-    match (sheet, watched) {
+    match (state.published.borrow().plan.as_ref(), watched) {
         (Some(sheet), WatchedDomain::Own) => sheet
             .vms_of(&identity.domain)
             .filter(|it| it.name != identity.vm)
@@ -201,9 +198,8 @@
     let mut watched: BTreeSet<DomainName> = BTreeSet::new();
     let mut published = state.published.subscribe();
     loop {
-        let text = published.borrow_and_update().sheet.clone();
-        let sheet = text.and_then(|it| PlanSheet::try_from(&*it.text).ok());
-        for domain in sheet.iter().flat_map(|it| it.domains.keys()) {
+        let plan = published.borrow_and_update().plan.clone();
+        for domain in plan.iter().flat_map(|it| it.domains.keys()) {
             let is_other = *domain != state.settings.identity.domain;
             if is_other && watched.insert(domain.clone()) {
                 let other = WatchedDomain::Other(domain.clone());
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -6,31 +6,22 @@
 
 use crate::ServerView;
 
-/// Bounds on work towards one owner.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct AdmissionLimits {
-    /// Routers that share the server's connections.
-    pub n_routers: u32,
-}
-
 /// Whether a request with `left` until its deadline may be sent to a server now.
 ///
 /// # Errors
-/// `ColdServer` while the warm-up leaves no room, `Overloaded` when the router's share of connections is in use or the expected wait is longer
-/// than the time left; `DeadlinePassed` when no time is left.
+/// `ColdServer` while the warm-up leaves no room; `Overloaded` when the limit on open calls, which
+/// is at most the router's share of connections, is reached or the expected wait is longer than the
+/// time left; `DeadlinePassed` when no time is left.
 pub fn admit(
     view: &ServerView,
-    limits: AdmissionLimits,
     typical: f64,
     left: Duration,
     now: MonoTime,
 ) -> Result<(), NotRunReason> {
-    let share = (view.connections() / limits.n_routers.max(1)).max(view.slots()).max(1);
-    let is_full = view.n_open() >= share as usize || !view.is_below_limit();
     match () {
         () if !view.has_room(now) => Err(NotRunReason::ColdServer),
         () if left.is_zero() => Err(NotRunReason::DeadlinePassed),
-        () if is_full => Err(NotRunReason::Overloaded),
+        () if !view.is_below_limit() => Err(NotRunReason::Overloaded),
         () if queue_seconds(view, typical) > left.as_secs_f64() => Err(NotRunReason::Overloaded),
         () => Ok(()),
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,7 +10,7 @@
 mod server_view;
 mod warmup;
 
-pub use admission::{AdmissionLimits, admit};
+pub use admission::admit;
 pub use balancer::{BalancerPolicy, Candidate, ServiceBalancer};
 pub use budget::RetryBudget;
 pub use concurrency::{CallPace, ConcurrencyLimit};
--- a/crates/policy/tests/it/balancer.rs
+++ b/crates/policy/tests/it/balancer.rs
@@ -4,7 +4,7 @@
 
 use model::{NotRunReason, ServerName};
 use policy::{
-    AdmissionLimits, BalancerPolicy, CallResult, Candidate, QuantileTracker, ServerView,
+    BalancerPolicy, CallResult, Candidate, QuantileTracker, RouterShare, ServerProfile, ServerView,
     ServiceBalancer, admit,
 };
 
@@ -76,8 +76,7 @@
     for _ in 0..8 {
         view.begin(ALLOWED, at(100));
     }
-    let limits = AdmissionLimits { n_routers: 1 };
-    let admitted = |ms| admit(&view, limits, 0.1, Duration::from_millis(ms), at(101));
+    let admitted = |ms| admit(&view, 0.1, Duration::from_millis(ms), at(101));
     assert_eq!(admitted(1_000), Ok(()));
     assert_eq!(admitted(150), Err(NotRunReason::Overloaded));
     assert_eq!(admitted(0), Err(NotRunReason::DeadlinePassed));
@@ -85,12 +84,12 @@
 
 #[test]
 fn a_router_uses_no_more_than_its_share_of_connections() {
-    let mut view = ServerView::new(profile());
+    let share = RouterShare { rank: 0, n_routers: 4 };
+    let mut view = ServerView::new(ServerProfile { share, ..profile() });
     for _ in 0..16 {
         view.begin(ALLOWED, at(0));
     }
-    let limits = AdmissionLimits { n_routers: 4 };
-    let res = admit(&view, limits, 0.001, Duration::from_secs(1), at(0));
+    let res = admit(&view, 0.001, Duration::from_secs(1), at(0));
     assert_eq!(res, Err(NotRunReason::Overloaded));
 }
 
--- a/crates/router/src/keyed.rs
+++ b/crates/router/src/keyed.rs
@@ -9,7 +9,7 @@
 use model::{CallOutcome, Idempotency, KeyHash, MonoTime, NotRunReason, SliceId, UnknownReason};
 use ownership::OwnerRoute;
 use peer::ForwardCause;
-use policy::{AdmissionLimits, ServiceBalancer, admit};
+use policy::{ServiceBalancer, admit};
 
 use crate::{
     attempt::{OpenCall, SendCause, is_over, send},
@@ -141,7 +141,7 @@
         cause: SendCause,
     ) -> Result<ServerAnswer, CallOutcome> {
         let Self { state, routed, balancer, .. } = *self;
-        admit_at(balancer, table, routed, route, state.now()).map_err(CallOutcome::NotRun)?;
+        admit_at(balancer, routed, route, state.now()).map_err(CallOutcome::NotRun)?;
         let no_owner = CallOutcome::NotRun(NotRunReason::NoOwner);
         let peer = state.server_peer(table, &route.server).ok_or(no_owner)?;
         let overloaded = CallOutcome::NotRun(NotRunReason::Overloaded);
@@ -242,21 +242,15 @@
 
 fn admit_at(
     balancer: &Mutex<ServiceBalancer>,
-    table: &RoutingTable,
     routed: &RoutedRequest,
     route: &OwnerRoute,
     now: MonoTime,
 ) -> Result<(), NotRunReason> {
-    let n_routers = table
-        .sheet
-        .servers
-        .get(&route.server)
-        .map_or(1, |row| table.sheet.vms_of(&row.domain).count() as u32);
     let balancer = lock(balancer);
     let Some(view) = balancer.server(&route.server) else {
         return Err(NotRunReason::NoOwner);
     };
-    admit(view, AdmissionLimits { n_routers }, balancer.latency(), routed.left(now), now)
+    admit(view, balancer.latency(), routed.left(now), now)
 }
 
 /// A request that may still run at its server stays counted until its deadline has passed there.
