entry: reset connections that are given up

Change: connections to servers and the store linger for no time, so that closing resets them. Test: a peer sees a reset.

--- a/crates/entry/src/connections.rs
+++ b/crates/entry/src/connections.rs
@@ -89,6 +89,8 @@
         // Both only sharpen how soon a silent peer is noticed.
         let _ = socket.set_tcp_nodelay(true);
         let _ = socket.set_tcp_user_timeout(Some(UNACKED_TIMEOUT));
+        // Closing resets, so that bytes held up by a partition never arrive after it.
+        socket.set_linger(Some(Duration::ZERO)).map_err(failed)?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|err| ExchangeFault::NotConnected(StepError::new("handshake", peer, err)))?;
--- /dev/null
+++ b/crates/entry/tests/it/connections.rs
@@ -0,0 +1,30 @@
+//! What peers see of the entry's connections.
+
+use std::{io::ErrorKind, time::Duration};
+
+use bytes::Bytes;
+use entry::PeerConnection;
+use http::Request;
+use model::MonoTime;
+use tokio::{io::AsyncReadExt, net::TcpListener, task::LocalSet, time::timeout};
+
+/// A grant that was given up once arrived after a partition, as closing only ended the stream.
+#[tokio::test(flavor = "current_thread")]
+async fn giving_up_an_exchange_resets_its_connection() {
+    LocalSet::new()
+        .run_until(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+            let address = listener.local_addr().expect("address");
+            let mut connection = PeerConnection::open(address).await.expect("open");
+            let (mut peer, _) = listener.accept().await.expect("accepted");
+            let request = Request::new(Bytes::from_static(b"order").into());
+            let exchange = connection.exchange(request, MonoTime::default);
+            let res = timeout(Duration::from_millis(50), exchange).await;
+            assert!(res.is_err(), "nobody answers");
+            drop(connection);
+            let mut seen = Vec::new();
+            let end = peer.read_to_end(&mut seen).await;
+            assert_eq!(end.map_err(|it| it.kind()), Err(ErrorKind::ConnectionReset));
+        })
+        .await;
+}
