entry: refuse connections at the end of a stop, prefer listed servers after an outage

Change: the callers' listener closes when the balancer had its time; servers that are missing around an outage get work only while no other is listed. Tests: entry/tests/it/beliefs.rs.

--- a/crates/entry/src/edge.rs
+++ b/crates/entry/src/edge.rs
@@ -33,16 +33,20 @@
     Closing,
 }
 
-/// Accepts callers until the process ends.
+/// Accepts callers until connections are closed; later ones are refused, so that they go elsewhere.
 pub async fn serve_callers<F: ServerFormat>(
     listener: TcpListener,
     traffic: Rc<TrafficServer<F>>,
-    phase: watch::Receiver<EdgePhase>,
+    mut phase: watch::Receiver<EdgePhase>,
     open: Rc<RefCell<usize>>,
     log: Logger,
 ) {
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            it = listener.accept() => it,
+            _ = phase.wait_for(|it| *it == EdgePhase::Closing) => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 let (traffic, phase, open) = (traffic.clone(), phase.clone(), open.clone());
                 tokio::task::spawn_local(async move {
--- a/crates/entry/src/feed.rs
+++ b/crates/entry/src/feed.rs
@@ -22,7 +22,7 @@
 pub const VM_PREFIX: &str = "vm/";
 
 /// Time after a fault of the store in which a removal may be a lapse.
-const LAPSE_SUSPICION: Duration = Duration::from_millis(3_000);
+const LAPSE_SUSPICION: Duration = Duration::from_millis(2_300);
 
 /// Encodes one of our records.
 pub fn encode_record<T: Serialize>(value: &T) -> Bytes {
@@ -151,7 +151,9 @@
         match held {
             Some(held) if held.entry.born == entry.born && held.entry.address == entry.address => {
                 let was_leaving = held.leaving_since.is_some();
-                let is_changed = was_leaving != entry.is_draining
+                let was_missing = std::mem::take(&mut held.is_missing);
+                let is_changed = was_missing
+                    || was_leaving != entry.is_draining
                     || (held.cold_until > now) != (cold_until > now)
                     || held.entry.service != entry.service;
                 // A server that has said once that it leaves is not taken back in the same life
@@ -174,7 +176,12 @@
                 info!(self.log, "server-joined"; "server" => %name, "service" => %entry.service,
                     "address" => %entry.address, "domain" => %entry.domain, "born" => entry.born,
                     "cold_ms" => entry.cold_left.as_millis() as u64);
-                let seen = SeenServer { entry: Arc::new(entry), cold_until, leaving_since };
+                let seen = SeenServer {
+                    entry: Arc::new(entry),
+                    cold_until,
+                    leaving_since,
+                    is_missing: false,
+                };
                 self.snapshot.servers.insert(name, seen);
                 self.snapshot.index_servers();
                 true
@@ -183,11 +190,13 @@
     }
 
     fn server_removed(&mut self, name: &ServerName, now: MonoTime) -> bool {
-        if !self.snapshot.servers.contains_key(name) {
-            return false;
-        }
-        if self.suspects_lapse(now) {
+        let is_lapse = self.suspects_lapse(now);
+        let Some(server) = self.snapshot.servers.get_mut(name) else {
             return false;
+        };
+        if is_lapse {
+            info!(self.log, "server-missing"; "server" => %name);
+            return !std::mem::replace(&mut server.is_missing, true);
         }
         info!(self.log, "server-gone"; "server" => %name);
         self.snapshot.servers.remove(name);
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -31,7 +31,7 @@
 const BALANCER_TIME: Duration = Duration::from_millis(2_600);
 
 /// Time before the process is killed at which it ends by itself.
-const GRACE_MARGIN: Duration = Duration::from_millis(500);
+const GRACE_MARGIN: Duration = Duration::from_millis(250);
 
 /// Time between sweeps of connections.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(1_000);
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -44,6 +44,8 @@
     pub cold_until: MonoTime,
     /// Since when it is known to be leaving.
     pub leaving_since: Option<MonoTime>,
+    /// Whether the store lost its entry around an outage, so that it may be gone or only lapsed.
+    pub is_missing: bool,
 }
 
 impl SeenServer {
@@ -98,13 +100,16 @@
 }
 
 impl BeliefSnapshot {
-    /// Servers of a service that may take new work now.
+    /// Servers of a service that may take new work now. Those that are missing from the store
+    /// count only while no other is left.
     pub fn usable(&self, service: &ServiceName) -> impl Iterator<Item = &SeenServer> {
         let names = self.by_service.get(service).map(Vec::as_slice).unwrap_or_default();
-        names
+        let staying = names
             .iter()
             .filter_map(|it| self.servers.get(it))
-            .filter(|it| it.leaving_since.is_none() && !self.is_evacuated(it))
+            .filter(|it| it.leaving_since.is_none() && !self.is_evacuated(it));
+        let has_listed = staying.clone().any(|it| !it.is_missing);
+        staying.filter(move |it| !(has_listed && it.is_missing))
     }
 
     /// Whether operators want the server's failure domain empty.
--- a/crates/entry/tests/it/main.rs
+++ b/crates/entry/tests/it/main.rs
@@ -1,3 +1,4 @@
 //! Tests of the entry at its boundary.
 
+mod beliefs;
 mod connections;
