entry, peer: one VM of each failure domain follows the store, shard changes go out as datagrams

Change: VMs follow one VM of their domain by waiting calls over h2 and bincode, and the store themselves when that one fails or is stale; the assigner sends acknowledged shard changes to all VMs. peer takes any message types.

--- a/crates/entry/src/assigner.rs
+++ b/crates/entry/src/assigner.rs
@@ -15,12 +15,13 @@
 
 use model::{MonoTime, ServerName, ServiceName};
 use ownership::{
-    KeyLoad, KeyRange, ServerLife, ServerStanding, ShardEntry, ShardLimits, ShardRecord,
-    ShardServer, plan_shards,
+    KeyLoad, KeyRange, ServerLife, ServerStanding, ShardDelta, ShardEntry, ShardLimits,
+    ShardRecord, ShardServer, plan_shards,
 };
 use settings::ProcessClock;
 use slog::{Logger, info, warn};
 use tokio::{
+    net::UdpSocket,
     sync::{Mutex, mpsc},
     time::sleep,
 };
@@ -29,6 +30,7 @@
     AssignerRecord, BeliefBoard, BeliefSnapshot, EntrySettings, LeaseId, RecordChange,
     ServerFormat, StateStore, StoreFault, StoredAssigner, StoredShards,
     feed::{ASSIGNER_RECORD, BeliefState, SHARDS_PREFIX, encode_record},
+    gossip::{PeerNote, ShardNote, encode_note, open_socket},
     orders::{GrantKind, OrderEnd, OrderSender, hold_end},
 };
 
@@ -166,6 +168,7 @@
     renewed_at: BTreeMap<(ServiceName, ServerLife), MonoTime>,
     balanced_at: BTreeMap<ServiceName, MonoTime>,
     vacant_since: Option<MonoTime>,
+    notes: Option<UdpSocket>,
     founded: BTreeMap<ServiceName, u64>,
     log: Logger,
 }
@@ -212,6 +215,7 @@
             renewed_at: BTreeMap::new(),
             balanced_at: BTreeMap::new(),
             vacant_since: None,
+            notes: None,
             founded: BTreeMap::new(),
             log: parts.log,
         }
@@ -523,6 +527,11 @@
                 self.granted.retain(|it| it.0 != *service);
                 self.needs_token.retain(|it| it.0 != *service);
                 self.founded.entry(service.clone()).or_insert(lease.revision);
+                if let Some(old) = stored {
+                    let delta = ShardDelta::between(&old.record, &next);
+                    let (service, base) = (service.clone(), old.revision);
+                    self.tell_routers(ShardNote { service, base, revision, delta }).await;
+                }
                 let stored = StoredShards { revision, record: Arc::new(next) };
                 let mut book = self.book.borrow_mut();
                 book.records.insert(service.clone(), stored.record.clone());
@@ -539,6 +548,23 @@
         }
     }
 
+    /// Tells all VMs of changed shards, ahead of the store's news; a lost note is made up for there.
+    async fn tell_routers(&mut self, note: ShardNote) {
+        let own = self.settings.reports;
+        if self.notes.is_none() {
+            let from = std::net::SocketAddr::new(own.ip(), 0);
+            self.notes = open_socket(from).await.ok();
+        }
+        let Some((socket, bytes)) = self.notes.as_ref().zip(encode_note(PeerNote::Shards(note)))
+        else {
+            return;
+        };
+        let beliefs = self.board.current();
+        for presence in beliefs.vms.values().filter(|it| it.reports != own) {
+            let _ = socket.send_to(&bytes, presence.reports).await;
+        }
+    }
+
     /// Starts the orders that are due and not under way.
     fn send_orders(&mut self, beliefs: &BeliefSnapshot, lease: HeldLease, now: MonoTime) {
         let is_stale =
--- a/crates/entry/src/beliefs.rs
+++ b/crates/entry/src/beliefs.rs
@@ -1,7 +1,9 @@
 //! Keeps one process's beliefs up to date: one waiting call to the store at a time.
 
-use std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration};
+use std::{cell::RefCell, net::IpAddr, rc::Rc, sync::Arc, time::Duration};
 
+use model::{MonoTime, StepError};
+use peer::{ByteCount, PeerBook, PeerClient};
 use settings::ProcessClock;
 use slog::{Logger, info, warn};
 use tokio::{
@@ -9,7 +11,11 @@
     time::sleep,
 };
 
-use crate::{BeliefSnapshot, FeedNews, StateStore, StoreFault, feed::BeliefState};
+use crate::{
+    BeliefSnapshot, FeedNews, StateStore, StoreFault,
+    feed::BeliefState,
+    news::{NEWS_WAIT, NewsAsk, NewsLog, NewsReply, NewsSource, STALE_RELAY, SourceChoice},
+};
 
 /// Longest wait of one watch; silence beyond it and the answer's time is a fault.
 const WATCH_WAIT: Duration = Duration::from_millis(1_500);
@@ -23,8 +29,14 @@
 /// Least time between calls when somebody waits for news.
 const URGENT_INTERVAL: Duration = Duration::from_millis(60);
 
+/// Least time between calls to a relay, which tells only what matters.
+const RELAY_INTERVAL: Duration = Duration::from_millis(30);
+
+/// Time for a relay's answer itself.
+const RELAY_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// Pause after a fault.
-const FAULT_PAUSE: Duration = Duration::from_millis(250);
+const FAULT_PAUSE: Duration = Duration::from_millis(100);
 
 /// Where beliefs are published and where news is asked for.
 #[derive(Debug, Clone)]
@@ -62,69 +74,140 @@
     }
 }
 
-/// Follows the store until the process ends.
-pub async fn follow_store<S: StateStore>(
-    store: S,
-    state: Rc<RefCell<BeliefState>>,
-    board: BeliefBoard,
-    clock: ProcessClock,
-    log: Logger,
-) {
-    let mut revision: Option<u64> = None;
-    let mut is_lost = false;
-    loop {
-        let called_at = clock.now();
-        let res = match revision {
-            None => store.read_all(ANSWER_TIMEOUT * 2).await.map(|it| (it, true)),
-            Some(after) => {
-                let timeout = WATCH_WAIT + ANSWER_TIMEOUT;
-                store.watch(after, WATCH_WAIT, timeout).await.map(|it| (it, false))
+/// What following the news needs.
+pub struct NewsFollower<S> {
+    /// The store.
+    pub store: S,
+    /// This VM's address.
+    pub local: IpAddr,
+    /// Beliefs as kept.
+    pub state: Rc<RefCell<BeliefState>>,
+    /// Beliefs as published.
+    pub board: BeliefBoard,
+    /// News for other VMs.
+    pub relayed: NewsLog,
+    /// Where to get news from.
+    pub choice: SourceChoice,
+    /// The clock.
+    pub clock: ProcessClock,
+    /// The log.
+    pub log: Logger,
+}
+
+/// How far a source has been read.
+#[derive(Debug, Clone, Copy, Default)]
+struct ReadMark {
+    /// Store revision, when the store is the source.
+    revision: Option<u64>,
+    /// Run and number of a relay's last news.
+    relayed: (u64, u64),
+}
+
+/// What one call to a source brought.
+struct SourceNews {
+    news: FeedNews,
+    is_complete: bool,
+    age: Duration,
+}
+
+impl<S: StateStore> NewsFollower<S> {
+    /// Follows the news until the process ends.
+    pub async fn run(mut self) {
+        let peers = PeerBook::new(self.local, ByteCount::default());
+        let mut source = NewsSource::Store;
+        let mut mark = ReadMark::default();
+        let mut is_lost = false;
+        loop {
+            let called_at = self.clock.now();
+            let wanted = self.choice.source(self.state.borrow().snapshot(), called_at);
+            if wanted != source {
+                info!(self.log, "news-source"; "from" => ?wanted, "before" => ?source);
+                mark = ReadMark::default();
+                source = wanted;
             }
-        };
-        let now = clock.now();
-        match res {
-            Ok((news, is_complete)) => {
-                if is_lost {
-                    info!(log, "store-regained"; "revision" => news.revision);
-                    is_lost = false;
+            self.relayed.set_following(source == NewsSource::Store);
+            let res = match &source {
+                NewsSource::Store => self.ask_store(&mut mark).await,
+                NewsSource::Relay(_, address) => {
+                    ask_relay(&peers.client(*address, "news"), &mut mark).await
                 }
-                revision = Some(news.revision);
-                take_news(&state, &board, news, is_complete, now);
-                if state.borrow_mut().needs_rereading(now) {
-                    revision = None;
+            };
+            let now = self.clock.now();
+            match res {
+                Ok(told) => {
+                    if std::mem::replace(&mut is_lost, false) {
+                        info!(self.log, "news-regained"; "source" => ?source);
+                    }
+                    self.take_in(told, &mut mark, now);
+                    let interval = match source {
+                        NewsSource::Store => CALL_INTERVAL,
+                        NewsSource::Relay(..) => RELAY_INTERVAL,
+                    };
+                    pause(&self.board, interval.saturating_sub(now.since(called_at))).await;
                 }
-                pause(&board, CALL_INTERVAL.saturating_sub(now.since(called_at))).await;
-            }
-            Err(StoreFault::Compacted) => {
-                warn!(log, "store-history-gone"; "after" => revision);
-                revision = None;
-            }
-            Err(fault) => {
-                if !is_lost {
-                    warn!(log, "store-lost"; "cause" => %fault);
-                    is_lost = true;
+                Err(StoreFault::Compacted) => {
+                    warn!(self.log, "store-history-gone"; "after" => mark.revision);
+                    mark.revision = None;
                 }
-                state.borrow_mut().note_fault(now);
-                sleep(FAULT_PAUSE).await;
+                Err(fault) => {
+                    if !std::mem::replace(&mut is_lost, true) {
+                        warn!(self.log, "news-lost"; "source" => ?source, "cause" => %fault);
+                    }
+                    if source == NewsSource::Store {
+                        self.state.borrow_mut().note_fault(now);
+                    }
+                    self.choice.note_fault(&source, now);
+                    sleep(FAULT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    async fn ask_store(&self, mark: &mut ReadMark) -> Result<SourceNews, StoreFault> {
+        let (news, is_complete) = match mark.revision {
+            None => (self.store.read_all(ANSWER_TIMEOUT * 2).await?, true),
+            Some(after) => {
+                let timeout = WATCH_WAIT + ANSWER_TIMEOUT;
+                (self.store.watch(after, WATCH_WAIT, timeout).await?, false)
             }
+        };
+        mark.revision = Some(news.revision);
+        Ok(SourceNews { news, is_complete, age: Duration::ZERO })
+    }
+
+    fn take_in(&self, told: SourceNews, mark: &mut ReadMark, now: MonoTime) {
+        let SourceNews { news, is_complete, age } = told;
+        let mut state = self.state.borrow_mut();
+        let changes = match is_complete {
+            true => state.apply_all(news, now),
+            false => state.apply_news(news, now),
+        };
+        state.note_age(age, now);
+        if state.needs_rereading(now) {
+            *mark = ReadMark::default();
+        }
+        let has_changed = !changes.is_empty();
+        self.relayed.add(changes, state.snapshot());
+        if has_changed {
+            self.board.publish(state.snapshot().clone());
         }
     }
 }
 
-fn take_news(
-    state: &Rc<RefCell<BeliefState>>,
-    board: &BeliefBoard,
-    news: FeedNews,
-    is_complete: bool,
-    now: model::MonoTime,
-) {
-    let mut state = state.borrow_mut();
-    let is_changed = match is_complete {
-        true => state.apply_all(news, now),
-        false => state.apply_news(news, now),
-    };
-    if is_changed || is_complete {
-        board.publish(state.snapshot().clone());
+async fn ask_relay(client: &PeerClient, mark: &mut ReadMark) -> Result<SourceNews, StoreFault> {
+    let (run, after) = mark.relayed;
+    let reply = client.call(&NewsAsk { run, after }, NEWS_WAIT + RELAY_TIMEOUT).await;
+    let refused = |cause: &str| StoreFault::Refused(StepError::new("ask-relay", "relay", cause));
+    match reply.map_err(StoreFault::Unknown)? {
+        NewsReply::NotFollowing => Err(refused("does not follow the store")),
+        NewsReply::News { age_ms, .. } if Duration::from_millis(age_ms) > STALE_RELAY => {
+            Err(refused("heard nothing of the store"))
+        }
+        NewsReply::News { run, last, is_complete, events, age_ms } => {
+            mark.relayed = (run, last);
+            let age = Duration::from_millis(age_ms);
+            Ok(SourceNews { news: FeedNews { revision: 0, events }, is_complete, age })
+        }
     }
 }
 
--- a/crates/entry/src/feed.rs
+++ b/crates/entry/src/feed.rs
@@ -1,6 +1,6 @@
 //! Turns the store's news into what this process believes.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use model::{DomainName, MonoTime, ServerName, ServiceName, VmName};
@@ -10,6 +10,7 @@
 
 use crate::{
     BeliefSnapshot, FeedEvent, FeedNews, SeenServer, ServerEntry, StoredAssigner, StoredShards,
+    gossip::ShardNote,
 };
 
 /// Name of the record that says who assigns keys.
@@ -59,6 +60,11 @@
         &self.snapshot
     }
 
+    /// Notes how old the last news already were when they came.
+    pub fn note_age(&mut self, age: Duration, now: MonoTime) {
+        self.snapshot.fresh_at = now - age;
+    }
+
     /// Notes that the store failed to answer.
     pub fn note_fault(&mut self, now: MonoTime) {
         self.faulted_at = Some(now);
@@ -69,49 +75,47 @@
         self.faulted_at.is_some_and(|it| now.since(it) < LAPSE_SUSPICION)
     }
 
-    /// Takes in changes; tells whether anything that matters has changed.
-    pub fn apply_news(&mut self, news: FeedNews, now: MonoTime) -> bool {
+    /// Takes in changes that were current at `now`; returns those that matter.
+    pub fn apply_news(&mut self, news: FeedNews, now: MonoTime) -> Vec<FeedEvent> {
         self.snapshot.fresh_at = now;
-        let mut is_changed = false;
+        let mut changes = Vec::new();
         for event in news.events {
-            is_changed |= self.apply_event(event, now);
+            if self.apply_event(event.clone(), now) {
+                changes.push(event);
+            }
         }
-        is_changed
+        changes
     }
 
     /// Takes in the complete state; what it lacks is gone.
-    pub fn apply_all(&mut self, news: FeedNews, now: MonoTime) -> bool {
+    pub fn apply_all(&mut self, news: FeedNews, now: MonoTime) -> Vec<FeedEvent> {
         let mut listed = Listed::default();
         for event in &news.events {
             listed.note(event);
         }
-        let is_changed = self.apply_news(news, now);
-        self.remove_unlisted(&listed, now) || is_changed
+        let mut changes = self.apply_news(news, now);
+        for event in self.unlisted(&listed) {
+            if self.apply_event(event.clone(), now) {
+                changes.push(event);
+            }
+        }
+        changes
     }
 
-    fn remove_unlisted(&mut self, listed: &Listed, now: MonoTime) -> bool {
-        let mut is_changed = false;
-        let missing: Vec<ServerName> = self
-            .snapshot
-            .servers
-            .keys()
-            .filter(|it| !listed.servers.contains(it))
-            .cloned()
-            .collect();
-        for name in missing {
-            is_changed |= self.server_removed(&name, now);
-        }
-        let n_before = self.snapshot.evacuated.len() + self.snapshot.vms.len();
-        self.snapshot.evacuated.retain(|it, _| listed.domains.contains(it));
-        self.snapshot.vms.retain(|it, _| listed.records.contains(&format!("{VM_PREFIX}{it}")));
-        is_changed |= n_before != self.snapshot.evacuated.len() + self.snapshot.vms.len();
-        let has_assigner = listed.records.iter().any(|it| it == ASSIGNER_RECORD);
-        if !has_assigner && self.snapshot.assigner.is_some() {
-            self.snapshot.assigner = None;
-            self.snapshot.assigner_revision = 0;
-            is_changed = true;
-        }
-        is_changed
+    /// The removal of everything that is believed and not listed.
+    fn unlisted(&self, listed: &Listed) -> Vec<FeedEvent> {
+        let beliefs = &self.snapshot;
+        let servers = beliefs.servers.keys().filter(|it| !listed.servers.contains(*it));
+        let mut events: Vec<FeedEvent> =
+            servers.map(|it| FeedEvent::Server(it.clone(), None)).collect();
+        let domains = beliefs.evacuated.keys().filter(|it| !listed.domains.contains(*it));
+        events.extend(domains.map(|it| FeedEvent::Evacuation(it.clone(), false)));
+        let vms = beliefs.vms.keys().map(|it| format!("{VM_PREFIX}{it}"));
+        let assigner = beliefs.assigner.iter().map(|_| ASSIGNER_RECORD.to_owned());
+        let records = vms.chain(assigner).filter(|it| !listed.records.contains(it));
+        let revision = beliefs.assigner_revision;
+        events.extend(records.map(|name| FeedEvent::Record { name, revision, value: None }));
+        events
     }
 
     fn apply_event(&mut self, event: FeedEvent, now: MonoTime) -> bool {
@@ -128,13 +132,19 @@
             FeedEvent::Server(name, Some(entry)) => self.server_seen(name, entry, now),
             FeedEvent::Server(name, None) => self.server_removed(&name, now),
             FeedEvent::Evacuation(domain, true) => {
-                info!(self.log, "domain-evacuated"; "domain" => %domain);
-                self.snapshot.evacuated.entry(domain).or_insert(now);
-                true
+                let is_new = !self.snapshot.evacuated.contains_key(&domain);
+                if is_new {
+                    info!(self.log, "domain-evacuated"; "domain" => %domain);
+                    self.snapshot.evacuated.insert(domain, now);
+                }
+                is_new
             }
             FeedEvent::Evacuation(domain, false) => {
-                info!(self.log, "domain-returned"; "domain" => %domain);
-                self.snapshot.evacuated.remove(&domain).is_some()
+                let is_changed = self.snapshot.evacuated.remove(&domain).is_some();
+                if is_changed {
+                    info!(self.log, "domain-returned"; "domain" => %domain);
+                }
+                is_changed
             }
             FeedEvent::Record { name, revision, value } => self.record_seen(&name, revision, value),
             FeedEvent::Unreadable { name, cause } => {
@@ -284,6 +294,16 @@
         }
     }
 
+    /// Takes in changed shards that the assigner told directly, if they follow what is believed.
+    pub fn apply_shard_note(&mut self, note: &ShardNote) -> bool {
+        let held = self.snapshot.shards.get(&note.service).filter(|it| it.revision == note.base);
+        let Some(record) = held.and_then(|it| note.delta.apply(&it.record)) else {
+            return false;
+        };
+        let stored = StoredShards { revision: note.revision, record: Arc::new(record) };
+        self.note_shards(note.service.clone(), stored)
+    }
+
     /// Takes in shards that this process has written itself.
     pub fn note_shards(&mut self, service: ServiceName, stored: StoredShards) -> bool {
         let held = self.snapshot.shards.get(&service).map_or(0, |it| it.revision);
@@ -298,17 +318,17 @@
 /// What a complete reading contains.
 #[derive(Debug, Default)]
 struct Listed {
-    servers: Vec<ServerName>,
-    domains: Vec<DomainName>,
-    records: Vec<String>,
+    servers: BTreeSet<ServerName>,
+    domains: BTreeSet<DomainName>,
+    records: BTreeSet<String>,
 }
 
 impl Listed {
     fn note(&mut self, event: &FeedEvent) {
         match event {
-            FeedEvent::Server(name, Some(_)) => self.servers.push(name.clone()),
-            FeedEvent::Evacuation(domain, true) => self.domains.push(domain.clone()),
-            FeedEvent::Record { name, .. } => self.records.push(name.clone()),
+            FeedEvent::Server(name, Some(_)) => _ = self.servers.insert(name.clone()),
+            FeedEvent::Evacuation(domain, true) => _ = self.domains.insert(domain.clone()),
+            FeedEvent::Record { name, .. } => _ = self.records.insert(name.clone()),
             _ => (),
         }
     }
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -1,4 +1,5 @@
-//! What entry VMs tell each other, as datagrams that may be lost: load by key, for the assigner.
+//! What entry VMs tell each other, as datagrams that may be lost: load by key, for the assigner, and
+//! changes of shards, ahead of the store's news.
 //!
 //! A stream between each pair of VMs would cost more than the news are worth; each datagram stands
 //! for itself and replaces none.
@@ -6,13 +7,14 @@
 use std::{net::SocketAddr, time::Duration};
 
 use model::{ServerName, ServiceName, VmName};
+use ownership::ShardDelta;
 use serde::{Deserialize, Serialize};
 
 /// Time between reports.
 pub const REPORT_INTERVAL: Duration = Duration::from_millis(400);
 
 /// Most bytes of one datagram.
-const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
+const MAX_DATAGRAM_BYTES: usize = 32 * 1024;
 
 /// Most keys of one report.
 const MAX_KEYS: usize = 1_000;
@@ -28,17 +30,41 @@
     pub work: Vec<(ServerName, u32)>,
 }
 
+/// A change of shards that the store has acknowledged.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ShardNote {
+    /// The service.
+    pub service: ServiceName,
+    /// Store revision of the record before the change.
+    pub base: u64,
+    /// Store revision of the change.
+    pub revision: u64,
+    /// The change.
+    pub delta: ShardDelta,
+}
+
+/// One datagram.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum PeerNote {
+    /// A router's load, to the assigner.
+    Load(LoadNote),
+    /// Changed shards, from the assigner.
+    Shards(ShardNote),
+}
+
 /// Encodes a note, unless it is too long for a datagram.
-pub fn encode_note(note: &LoadNote) -> Option<Vec<u8>> {
-    let mut note = note.clone();
-    for (_, keys) in &mut note.keys {
-        keys.truncate(MAX_KEYS);
+pub fn encode_note(mut note: PeerNote) -> Option<Vec<u8>> {
+    if let PeerNote::Load(note) = &mut note {
+        for (_, keys) in &mut note.keys {
+            keys.truncate(MAX_KEYS);
+        }
     }
-    bincode::serde::encode_to_vec(note, bincode::config::standard()).ok()
+    let bytes = bincode::serde::encode_to_vec(note, bincode::config::standard()).ok()?;
+    (bytes.len() <= MAX_DATAGRAM_BYTES).then_some(bytes)
 }
 
 /// Decodes a datagram.
-pub fn decode_note(bytes: &[u8]) -> Option<LoadNote> {
+pub fn decode_note(bytes: &[u8]) -> Option<PeerNote> {
     let config = bincode::config::standard().with_limit::<MAX_DATAGRAM_BYTES>();
     let (note, _) = bincode::serde::decode_from_slice(bytes, config).ok()?;
     Some(note)
@@ -47,7 +73,7 @@
 /// Size of the buffer that holds any datagram.
 pub const DATAGRAM_BUFFER_BYTES: usize = MAX_DATAGRAM_BYTES;
 
-/// Opens the socket for notes.
+/// Opens a socket for notes.
 ///
 /// # Errors
 /// When the address can't be bound.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -10,6 +10,7 @@
 mod feed;
 mod gossip;
 mod metrics;
+mod news;
 mod orders;
 mod plan;
 mod ports;
--- a/crates/entry/src/plan.rs
+++ b/crates/entry/src/plan.rs
@@ -3,10 +3,11 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use model::{Idempotency, ServiceName};
+use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
 /// A complete plan; a newer version replaces it as a whole.
-#[derive(Debug, Clone, PartialEq, Default)]
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 pub struct RoutePlan {
     /// Version; larger is newer.
     pub version: u64,
@@ -19,7 +20,7 @@
 }
 
 /// Where requests with one prefix go.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct PlanRoute {
     /// The route's name.
     pub name: Arc<str>,
@@ -40,7 +41,7 @@
 }
 
 /// One service of a route.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RouteTarget {
     /// The service.
     pub service: ServiceName,
@@ -49,7 +50,7 @@
 }
 
 /// What the plan says of a service.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ServiceRules {
     /// Path of the health check.
     pub health_path: Arc<str>,
@@ -64,7 +65,7 @@
 }
 
 /// Bounds on what callers may send.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallerLimits {
     /// Largest head, in bytes.
     pub max_head_bytes: usize,
--- a/crates/entry/src/ports.rs
+++ b/crates/entry/src/ports.rs
@@ -7,11 +7,12 @@
 use model::{DomainName, ServerName, ServiceName, StepError};
 use ownership::KeyRange;
 use policy::LoadReport;
+use serde::{Deserialize, Serialize};
 
 use crate::RoutePlan;
 
 /// A server as it describes itself.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerEntry {
     /// Its name.
     pub name: ServerName,
@@ -32,7 +33,7 @@
 }
 
 /// One piece of news from the store.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum FeedEvent {
     /// The plan in force.
     Plan(RoutePlan),
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -6,6 +6,7 @@
 use http::StatusCode;
 use model::MonoTime;
 use ownership::KeyLoad;
+use peer::{ByteCount, serve_peers};
 use settings::ProcessClock;
 use slog::{Logger, info, warn};
 use tokio::{
@@ -20,10 +21,14 @@
     AssignerParts, BeliefBoard, EntryMetrics, EntrySettings, KeyAssigner, ServerFormat, StateStore,
     TrafficServer, VmPresence,
     assigner::{LoadBook, SharedLoads},
-    beliefs::follow_store,
+    beliefs::NewsFollower,
     edge::{EdgePhase, serve_callers, serve_texts},
     feed::BeliefState,
-    gossip::{DATAGRAM_BUFFER_BYTES, REPORT_INTERVAL, decode_note, encode_note, open_socket},
+    gossip::{
+        DATAGRAM_BUFFER_BYTES, LoadNote, PeerNote, REPORT_INTERVAL, decode_note, encode_note,
+        open_socket,
+    },
+    news::{NewsLog, SourceChoice},
     presence::keep_presence,
 };
 
@@ -113,11 +118,33 @@
         let ControlParts { settings, store, format, incarnation, clock, board, stop } = parts;
         let beliefs = Rc::new(RefCell::new(BeliefState::new(log.clone())));
         let loads: SharedLoads = Rc::new(RefCell::new(LoadBook::default()));
-        let follower =
-            follow_store(store.clone(), beliefs.clone(), board.clone(), clock, log.clone());
-        tokio::task::spawn_local(follower);
-        tokio::task::spawn_local(hear_reports(settings.reports, loads.clone(), clock, log.clone()));
-        let presence = VmPresence { reports: settings.reports, incarnation };
+        let relayed = NewsLog::new(incarnation, clock);
+        let follower = NewsFollower {
+            store: store.clone(),
+            local: settings.callers.ip(),
+            state: beliefs.clone(),
+            board: board.clone(),
+            relayed: relayed.clone(),
+            choice: SourceChoice::new(settings.vm.clone(), settings.domain.clone()),
+            clock,
+            log: log.clone(),
+        };
+        tokio::task::spawn_local(follower.run());
+        tokio::task::spawn_local(pass_news_on(settings.news, relayed, log.clone()));
+        tokio::task::spawn_local(hear_notes(
+            settings.reports,
+            loads.clone(),
+            beliefs.clone(),
+            board.clone(),
+            clock,
+            log.clone(),
+        ));
+        let presence = VmPresence {
+            domain: settings.domain.clone(),
+            reports: settings.reports,
+            news: settings.news,
+            incarnation,
+        };
         let present = tokio::task::spawn_local(keep_presence(
             store.clone(),
             settings.vm.clone(),
@@ -142,10 +169,20 @@
     });
 }
 
-/// Takes in what routers report.
-async fn hear_reports(
+/// Serves the VMs that get their news from this one.
+async fn pass_news_on(address: std::net::SocketAddr, relayed: NewsLog, log: Logger) {
+    match settings::listen(address, "listen-news").await {
+        Ok(listener) => serve_peers(listener, relayed, ByteCount::default(), log).await,
+        Err(err) => warn!(log, "news-not-passed-on"; "cause" => %err),
+    }
+}
+
+/// Takes in what other VMs tell.
+async fn hear_notes(
     address: std::net::SocketAddr,
     loads: SharedLoads,
+    beliefs: Rc<RefCell<BeliefState>>,
+    board: BeliefBoard,
     clock: ProcessClock,
     log: Logger,
 ) {
@@ -162,24 +199,33 @@
             sleep(REPORT_INTERVAL).await;
             continue;
         };
-        let Some(note) = decode_note(&buffer[..len]) else {
-            continue;
-        };
-        let now: MonoTime = clock.now();
-        let mut loads = loads.borrow_mut();
-        for (service, counts) in note.keys {
-            let load: &mut KeyLoad = loads.keys.entry(service).or_default();
-            load.decay(now);
-            for (key, count) in counts {
-                load.add(key, count);
+        match decode_note(&buffer[..len]) {
+            Some(PeerNote::Load(note)) => take_load(&loads, note, clock.now()),
+            Some(PeerNote::Shards(note)) => {
+                let mut beliefs = beliefs.borrow_mut();
+                if beliefs.apply_shard_note(&note) {
+                    board.publish(beliefs.snapshot().clone());
+                }
             }
+            None => (),
         }
-        for (server, millis) in note.work {
-            let seconds = f64::from(millis) / 1_000.0;
-            let held = loads.work.entry(server).or_insert(seconds);
-            *held += (seconds - *held) * WORK_GAIN;
+    }
+}
+
+fn take_load(loads: &SharedLoads, note: LoadNote, now: MonoTime) {
+    let mut loads = loads.borrow_mut();
+    for (service, counts) in note.keys {
+        let load: &mut KeyLoad = loads.keys.entry(service).or_default();
+        load.decay(now);
+        for (key, count) in counts {
+            load.add(key, count);
         }
     }
+    for (server, millis) in note.work {
+        let seconds = f64::from(millis) / 1_000.0;
+        let held = loads.work.entry(server).or_insert(seconds);
+        *held += (seconds - *held) * WORK_GAIN;
+    }
 }
 
 /// Weight of one router's report in a server's average.
@@ -256,7 +302,7 @@
         }
         let note = traffic.take_load_note();
         let assigner = board.current().assigner.as_ref().map(|it| it.record.reports);
-        if let (Some(assigner), Some(bytes)) = (assigner, encode_note(&note)) {
+        if let (Some(assigner), Some(bytes)) = (assigner, encode_note(PeerNote::Load(note))) {
             // A lost report is made up for by the next.
             let _ = socket.send_to(&bytes, assigner).await;
         }
--- a/crates/entry/src/settings_file.rs
+++ b/crates/entry/src/settings_file.rs
@@ -14,6 +14,7 @@
     callers: String,
     readiness: String,
     reports_port: u16,
+    news_port: u16,
     metrics_port: u16,
     store: String,
     /// Share of first sends that may be sent again, over all VMs.
@@ -50,6 +51,8 @@
     pub readiness: SocketAddr,
     /// Where other VMs send load reports.
     pub reports: SocketAddr,
+    /// Where this VM passes news on.
+    pub news: SocketAddr,
     /// Where metrics and dumps are read.
     pub metrics: SocketAddr,
     /// The store.
@@ -102,6 +105,7 @@
             callers,
             readiness: address("readiness", &raw.readiness)?,
             reports: at_port(raw.reports_port),
+            news: at_port(raw.news_port),
             metrics: at_port(raw.metrics_port),
             store: address("store", &raw.store)?,
             retries: RetryBounds {
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -10,7 +10,10 @@
 use ownership::{ServerLife, ShardRecord};
 use serde::{Deserialize, Serialize};
 
-use crate::{RoutePlan, ServerEntry};
+use crate::{
+    FeedEvent, RoutePlan, ServerEntry,
+    feed::{ASSIGNER_RECORD, SHARDS_PREFIX, VM_PREFIX, encode_record},
+};
 
 /// Everything that is known of the plan, the servers and the other VMs.
 #[derive(Debug, Clone, Default)]
@@ -93,12 +96,20 @@
 /// An entry VM's record.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VmPresence {
-    /// Where its process hears the others.
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// Where its process hears datagrams of the others.
     pub reports: SocketAddr,
+    /// Where its process passes news on.
+    pub news: SocketAddr,
     /// Distinguishes runs of the VM's process.
     pub incarnation: u64,
 }
 
+fn record_event<T: Serialize>(name: String, revision: u64, record: &T) -> FeedEvent {
+    FeedEvent::Record { name, revision, value: Some(encode_record(record)) }
+}
+
 impl BeliefSnapshot {
     /// Servers of a service that may take new work now. Those that are missing from the store
     /// count only while no other is left.
@@ -117,6 +128,29 @@
         self.evacuated.contains_key(&server.entry.domain)
     }
 
+    /// All beliefs as events, for a VM that believes nothing yet.
+    pub fn to_events(&self, now: MonoTime) -> Vec<FeedEvent> {
+        let mut events: Vec<FeedEvent> = Vec::new();
+        events.extend(self.plan.as_ref().map(|it| FeedEvent::Plan((**it).clone())));
+        for (name, server) in &self.servers {
+            let mut entry = (*server.entry).clone();
+            entry.cold_left = server.cold_until.since(now);
+            events.push(FeedEvent::Server(name.clone(), Some(entry)));
+        }
+        events.extend(self.evacuated.keys().map(|it| FeedEvent::Evacuation(it.clone(), true)));
+        if let Some(StoredAssigner { revision, record }) = &self.assigner {
+            events.push(record_event(ASSIGNER_RECORD.to_owned(), *revision, record));
+        }
+        for (service, StoredShards { revision, record }) in &self.shards {
+            let name = format!("{SHARDS_PREFIX}{service}");
+            events.push(record_event(name, *revision, &**record));
+        }
+        for (vm, presence) in &self.vms {
+            events.push(record_event(format!("{VM_PREFIX}{vm}"), 0, presence));
+        }
+        events
+    }
+
     /// Rebuilds the index of servers by service.
     pub fn index_servers(&mut self) {
         self.by_service.clear();
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -32,8 +32,8 @@
 };
 pub use router_view::{OwnerRoute, RouterView};
 pub use shards::{
-    KeyRange, ServerLife, ServerStanding, ShardEntry, ShardHolder, ShardLimits, ShardRecord,
-    ShardServer, plan_shards,
+    KeyRange, ServerLife, ServerStanding, ShardDelta, ShardEntry, ShardHolder, ShardLimits,
+    ShardRecord, ShardServer, plan_shards,
 };
 pub use timing::LeaseTiming;
 pub use witness::WitnessState;
--- a/crates/ownership/src/shards.rs
+++ b/crates/ownership/src/shards.rs
@@ -136,6 +136,36 @@
     }
 }
 
+/// What one change of a record replaces.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShardDelta {
+    next_token: u64,
+    removed: Vec<KeyRange>,
+    added: Vec<ShardEntry>,
+}
+
+impl ShardDelta {
+    /// The change from `old` to `new`.
+    pub fn between(old: &ShardRecord, new: &ShardRecord) -> Self {
+        let removed = old.entries.iter().filter(|it| new.entry(it.range.first) != Some(*it));
+        let added = new.entries.iter().filter(|it| old.entry(it.range.first) != Some(*it));
+        Self {
+            next_token: new.next_token,
+            removed: removed.map(|it| it.range).collect(),
+            added: added.cloned().collect(),
+        }
+    }
+
+    /// The record after the change, if `old` is the one that it was made from.
+    pub fn apply(&self, old: &ShardRecord) -> Option<ShardRecord> {
+        let kept = old.entries.iter().filter(|it| !self.removed.contains(&it.range));
+        let mut entries: Vec<ShardEntry> = kept.chain(&self.added).cloned().collect();
+        entries.sort_by_key(|it| it.range.first);
+        let record = ShardRecord { next_token: self.next_token, entries };
+        record.is_sound().then_some(record)
+    }
+}
+
 /// What a server may be given.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ServerStanding {
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -15,7 +15,7 @@
 use model::StepError;
 use tokio::net::TcpSocket;
 
-use crate::{PeerReply, PeerRequest, codec, server::WINDOW_BYTES};
+use crate::{PeerAsk, codec, server::WINDOW_BYTES};
 
 /// Longest wait for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
@@ -85,11 +85,11 @@
     ///
     /// # Errors
     /// When there is no whole reply in time.
-    pub async fn call(
+    pub async fn call<A: PeerAsk>(
         &self,
-        request: &PeerRequest,
+        request: &A,
         timeout: Duration,
-    ) -> Result<PeerReply, StepError> {
+    ) -> Result<A::Reply, StepError> {
         let exchange = async { self.ready().await?.send(request).await };
         match tokio::time::timeout(timeout, exchange).await {
             Ok(res) => res,
@@ -141,7 +141,7 @@
     ///
     /// # Errors
     /// When the connection breaks; the peer may have acted on the request.
-    pub async fn send(mut self, request: &PeerRequest) -> Result<PeerReply, StepError> {
+    pub async fn send<A: PeerAsk>(mut self, request: &A) -> Result<A::Reply, StepError> {
         let res = self.exchange(request).await;
         if res.is_err() {
             self.client.forget(self.generation).await;
@@ -149,7 +149,7 @@
         res
     }
 
-    async fn exchange(&mut self, request: &PeerRequest) -> Result<PeerReply, StepError> {
+    async fn exchange<A: PeerAsk>(&mut self, request: &A) -> Result<A::Reply, StepError> {
         let address = self.client.inner.address;
         let body = codec::encode(request)?;
         self.client.inner.bytes.add(body.len());
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -7,7 +7,7 @@
 
 pub use client::{ByteCount, PeerBook, PeerClient};
 pub use messages::{
-    ColdNotice, ForwardAsk, ForwardCause, ForwardReply, PeerReply, PeerRequest, SheetText,
+    ColdNotice, ForwardAsk, ForwardCause, ForwardReply, PeerAsk, PeerReply, PeerRequest, SheetText,
     WatchAsk, WatchNews,
 };
 pub use server::{PeerService, serve_peers};
--- a/crates/peer/src/messages.rs
+++ b/crates/peer/src/messages.rs
@@ -10,7 +10,17 @@
     AcceptAnswer, AcceptAsk, HomesNews, LeaseAnswer, LeaseAsk, MapNews, MapStamp, PrepareAnswer,
     PrepareAsk,
 };
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+
+/// A request with the type of its reply.
+pub trait PeerAsk: Serialize + DeserializeOwned + Send + Sync + 'static {
+    /// What the peer answers.
+    type Reply: Serialize + DeserializeOwned + Send + Sync + 'static;
+}
+
+impl PeerAsk for PeerRequest {
+    type Reply = PeerReply;
+}
 
 /// A request from one process to another.
 #[derive(Debug, Clone, Serialize, Deserialize)]
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -7,7 +7,7 @@
 use slog::{Logger, debug};
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::{ByteCount, PeerReply, PeerRequest, codec};
+use crate::{ByteCount, PeerAsk, codec};
 
 /// Receive window of a stream and of a connection.
 pub(crate) const WINDOW_BYTES: u32 = 4 * 1024 * 1024;
@@ -17,8 +17,14 @@
 
 /// What a process answers to its peers.
 pub trait PeerService: Clone + Send + Sync + 'static {
+    /// What it is asked.
+    type Ask: PeerAsk;
+
     /// Answers one request.
-    fn answer(&self, request: PeerRequest) -> impl Future<Output = PeerReply> + Send;
+    fn answer(
+        &self,
+        request: Self::Ask,
+    ) -> impl Future<Output = <Self::Ask as PeerAsk>::Reply> + Send;
 }
 
 /// Serves peers until the future is dropped.
--- a/crates/peer/tests/it/main.rs
+++ b/crates/peer/tests/it/main.rs
@@ -15,6 +15,8 @@
 struct Echo;
 
 impl PeerService for Echo {
+    type Ask = PeerRequest;
+
     async fn answer(&self, request: PeerRequest) -> PeerReply {
         match request {
             PeerRequest::Hello => PeerReply::Hello(Incarnation(7)),
--- a/crates/planner/src/peer_edge.rs
+++ b/crates/planner/src/peer_edge.rs
@@ -20,6 +20,8 @@
 }
 
 impl PeerService for PlannerPeerService {
+    type Ask = PeerRequest;
+
     async fn answer(&self, request: PeerRequest) -> PeerReply {
         let reply = match request {
             PeerRequest::Accept(ask) => {
--- a/crates/router/src/peer_edge.rs
+++ b/crates/router/src/peer_edge.rs
@@ -12,6 +12,8 @@
 }
 
 impl PeerService for RouterPeerService {
+    type Ask = PeerRequest;
+
     async fn answer(&self, request: PeerRequest) -> PeerReply {
         match request {
             PeerRequest::Forward(ask) => {
