entry: pass shards on as news although a datagram told them first

Change: records that are known already are passed on. Test: shards_known_from_a_datagram_are_still_passed_on_as_news.

--- a/crates/entry/src/feed.rs
+++ b/crates/entry/src/feed.rs
@@ -243,9 +243,10 @@
         let record = value.and_then(|it| decode_record(ASSIGNER_RECORD, &it, &self.log));
         let assigner = record.map(|record| StoredAssigner { revision, record });
         self.snapshot.assigner_revision = assigner.as_ref().map_or(0, |it| it.revision);
-        let is_changed = assigner != self.snapshot.assigner;
+        let is_known = assigner.is_none() && self.snapshot.assigner.is_none();
         self.snapshot.assigner = assigner;
-        is_changed
+        // What this process has written itself is news to those that follow it.
+        !is_known
     }
 
     fn shards_seen(
@@ -259,7 +260,8 @@
             return false;
         };
         let held = self.snapshot.shards.get(&service).map_or(0, |it| it.revision);
-        if revision <= held {
+        // What a datagram told already is still news to those that follow this process.
+        if revision < held {
             return false;
         }
         let record: Option<ShardRecord> = decode_record(name, &value, &self.log);
--- a/crates/entry/tests/it/beliefs.rs
+++ b/crates/entry/tests/it/beliefs.rs
@@ -1,9 +1,10 @@
 //! What a process believes of servers around outages of the store.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
-use entry::{BeliefState, FeedEvent, FeedNews, ServerEntry};
+use entry::{BeliefState, FeedEvent, FeedNews, ServerEntry, StoredShards};
 use model::{DomainName, MonoTime, ServerName, ServiceName};
+use ownership::{KeyRange, ServerLife, ShardEntry, ShardHolder, ShardRecord};
 use slog::{Discard, Logger, o};
 
 fn server(name: &str) -> ServerEntry {
@@ -68,3 +69,30 @@
     state.apply_news(FeedNews { revision: 2, events: vec![gone] }, at(500));
     assert_eq!(usable(&state), ["two"]);
 }
+
+/// Followers of the assigner's VM missed shards whose datagram was lost (quiet-1 of sabana-gw).
+#[test]
+fn shards_known_from_a_datagram_are_still_passed_on_as_news() {
+    let mut state = state();
+    let service = ServiceName::try_from("archive").expect("a name");
+    let life = ServerLife {
+        server: server("one").name,
+        born: 7,
+        address: "127.0.0.1:9".parse().expect("an address"),
+    };
+    let entry = ShardEntry {
+        range: KeyRange::ALL,
+        holder: ShardHolder { life, token: 1 },
+        leaving: Vec::new(),
+    };
+    let record = ShardRecord { next_token: 2, entries: vec![entry] };
+    let stored = StoredShards { revision: 5, record: Arc::new(record.clone()) };
+    assert!(state.note_shards(service, stored));
+    let event = FeedEvent::Record {
+        name: "shards/archive".to_owned(),
+        revision: 5,
+        value: Some(serde_json::to_vec(&record).expect("encoded").into()),
+    };
+    let changes = state.apply_news(FeedNews { revision: 5, events: vec![event.clone()] }, at(9));
+    assert_eq!(changes, [event]);
+}
