entry: move more keys at once, open them to routers by datagram

Cause: a move was usable only with the next round and the next write; four moves a round could not divide a hot range among 79 servers. Change: moves for balance grow with the servers; each grant of a move is told to all VMs at once, its record is written with the next change.

--- a/crates/entry/src/assigner.rs
+++ b/crates/entry/src/assigner.rs
@@ -30,7 +30,7 @@
     AssignerRecord, BeliefBoard, BeliefSnapshot, EntrySettings, LeaseId, RecordChange,
     ServerFormat, StateStore, StoreFault, StoredAssigner, StoredShards,
     feed::{ASSIGNER_RECORD, BeliefState, SHARDS_PREFIX, encode_record},
-    gossip::{PeerNote, ShardNote, encode_note, open_socket},
+    gossip::{OpenedNote, PeerNote, ShardNote, encode_note, open_socket},
     orders::{GrantKind, OrderEnd, OrderSender, hold_end},
 };
 
@@ -50,7 +50,10 @@
 const ROUND_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Time between plans for balance.
-const BALANCE_INTERVAL: Duration = Duration::from_millis(700);
+const BALANCE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Least time between writes that only say which keys are settled.
+const SETTLE_INTERVAL: Duration = Duration::from_millis(400);
 
 /// Time between renewals of a holder's grants.
 const RENEW_INTERVAL: Duration = Duration::from_millis(1_000);
@@ -169,6 +172,9 @@
     balanced_at: BTreeMap<ServiceName, MonoTime>,
     vacant_since: Option<MonoTime>,
     notes: Option<UdpSocket>,
+    /// Revision of each record as this process wrote or read it last.
+    revisions: BTreeMap<ServiceName, u64>,
+    written_at: MonoTime,
     founded: BTreeMap<ServiceName, u64>,
     log: Logger,
 }
@@ -216,6 +222,8 @@
             balanced_at: BTreeMap::new(),
             vacant_since: None,
             notes: None,
+            revisions: BTreeMap::new(),
+            written_at: MonoTime::default(),
             founded: BTreeMap::new(),
             log: parts.log,
         }
@@ -227,6 +235,7 @@
             self.round().await;
             tokio::select! {
                 () = sleep(ROUND_INTERVAL) => (),
+                Some(news) = self.news.1.recv() => self.take_order_news(news).await,
                 _ = stop.changed() => (),
             }
         }
@@ -258,7 +267,9 @@
         if !beliefs.assigner.as_ref().is_some_and(is_held) {
             return self.step_down("replaced");
         }
-        self.collect_news();
+        while let Ok(news) = self.news.1.try_recv() {
+            self.take_order_news(news).await;
+        }
         for service in beliefs.keyed_services() {
             self.plan_service(&service, &beliefs, lease, now).await;
         }
@@ -392,16 +403,22 @@
         info!(self.log, "assigner-resigned"; "written" => res.is_ok());
     }
 
-    fn collect_news(&mut self) {
-        while let Ok(news) = self.news.1.try_recv() {
-            match news {
-                OrderNews::Granted { service, range, token } => {
-                    self.granted.push((service, range, token));
-                }
-                OrderNews::NeedsToken { service, life } => self.needs_token.push((service, life)),
-                OrderNews::Ended { task } => {
-                    self.tasks.remove(&task);
+    async fn take_order_news(&mut self, news: OrderNews) {
+        match news {
+            OrderNews::Granted { service, range, token } => {
+                let revision = self.revisions.get(&service).copied().unwrap_or_default();
+                self.granted.push((service.clone(), range, token));
+                let note = OpenedNote { service, revision, range, token };
+                {
+                    let mut beliefs = self.beliefs.borrow_mut();
+                    beliefs.apply_opened_note(&note);
+                    self.board.publish(beliefs.snapshot().clone());
                 }
+                self.tell_routers(PeerNote::Opened(note)).await;
+            }
+            OrderNews::NeedsToken { service, life } => self.needs_token.push((service, life)),
+            OrderNews::Ended { task } => {
+                self.tasks.remove(&task);
             }
         }
     }
@@ -417,23 +434,28 @@
         let stored = beliefs.shards.get(service);
         let servers = self.shard_servers(service, beliefs, now);
         let mut draft = stored.map(|it| (*it.record).clone());
-        if let Some(draft) = &mut draft {
-            self.prepare_draft(service, draft);
-        }
+        let has_new_tokens = match &mut draft {
+            Some(draft) => self.prepare_draft(service, draft),
+            None => false,
+        };
         let may_move = now >= lease.may_move_at || draft.is_none();
-        let next = match may_move {
-            true => self.plan(service, draft.as_ref(), &servers, beliefs, now).or(draft),
-            false => draft,
+        let planned = match may_move {
+            true => self.plan(service, draft.as_ref(), &servers, beliefs, now),
+            false => None,
         };
-        let Some(next) = next.filter(|it| stored.is_none_or(|old| *old.record != *it)) else {
+        // Settled keys are in use already; their record is written along with the next change.
+        let has_granted = self.granted.iter().any(|it| it.0 == *service)
+            && now.since(self.written_at) >= SETTLE_INTERVAL;
+        let draft = draft.filter(|_| has_new_tokens || has_granted);
+        let Some(next) = planned.or(draft) else {
             self.founded.entry(service.clone()).or_insert(lease.revision);
             return;
         };
         self.write(service, stored, next, lease).await;
     }
 
-    /// Takes finished moves and wanted tokens into the draft.
-    fn prepare_draft(&mut self, service: &ServiceName, draft: &mut ShardRecord) {
+    /// Takes finished moves and wanted tokens into the draft; tells whether any token is new.
+    fn prepare_draft(&mut self, service: &ServiceName, draft: &mut ShardRecord) -> bool {
         for (_, range, token) in self.granted.iter().filter(|it| it.0 == *service) {
             draft.settle(*range, *token);
         }
@@ -450,6 +472,7 @@
         for life in &lives {
             draft.renew_tokens(life);
         }
+        !lives.is_empty()
     }
 
     fn plan(
@@ -470,7 +493,7 @@
         let balanced_at = self.balanced_at.entry(service.clone()).or_default();
         match now.since(*balanced_at) >= BALANCE_INTERVAL {
             true => *balanced_at = now,
-            false => limits.max_moves = 0,
+            false => limits.max_moves = 0.0,
         }
         plan_shards(draft, servers, &is_dead, load, limits)
     }
@@ -524,13 +547,16 @@
                 info!(self.log, "shards-written"; "service" => %service, "revision" => revision,
                     "entries" => next.entries.len(), "next_token" => next.next_token,
                     "moving" => next.entries.iter().filter(|it| !it.is_settled()).count());
+                self.written_at = self.clock.now();
+                self.revisions.insert(service.clone(), revision);
                 self.granted.retain(|it| it.0 != *service);
                 self.needs_token.retain(|it| it.0 != *service);
                 self.founded.entry(service.clone()).or_insert(lease.revision);
                 if let Some(old) = stored {
                     let delta = ShardDelta::between(&old.record, &next);
                     let (service, base) = (service.clone(), old.revision);
-                    self.tell_routers(ShardNote { service, base, revision, delta }).await;
+                    let note = ShardNote { service, base, revision, delta };
+                    self.tell_routers(PeerNote::Shards(note)).await;
                 }
                 let stored = StoredShards { revision, record: Arc::new(next) };
                 let mut book = self.book.borrow_mut();
@@ -549,14 +575,13 @@
     }
 
     /// Tells all VMs of changed shards, ahead of the store's news; a lost note is made up for there.
-    async fn tell_routers(&mut self, note: ShardNote) {
+    async fn tell_routers(&mut self, note: PeerNote) {
         let own = self.settings.reports;
         if self.notes.is_none() {
             let from = std::net::SocketAddr::new(own.ip(), 0);
             self.notes = open_socket(from).await.ok();
         }
-        let Some((socket, bytes)) = self.notes.as_ref().zip(encode_note(PeerNote::Shards(note)))
-        else {
+        let Some((socket, bytes)) = self.notes.as_ref().zip(encode_note(note)) else {
             return;
         };
         let beliefs = self.board.current();
@@ -573,6 +598,7 @@
             if is_stale { self.settings.max_hold } else { self.settings.max_hold.min(USUAL_HOLD) };
         for (service, stored) in &beliefs.shards {
             self.book.borrow_mut().records.insert(service.clone(), stored.record.clone());
+            self.revisions.insert(service.clone(), stored.revision);
             // Orders wait until servers can be given tokens that fence the predecessor off.
             if !self.founded.contains_key(service) {
                 continue;
--- a/crates/entry/src/feed.rs
+++ b/crates/entry/src/feed.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     BeliefSnapshot, FeedEvent, FeedNews, SeenServer, ServerEntry, StoredAssigner, StoredShards,
-    gossip::ShardNote,
+    gossip::{OpenedNote, ShardNote},
 };
 
 /// Name of the record that says who assigns keys.
@@ -269,6 +269,14 @@
             warn!(self.log, "record-unsound"; "record" => name, "revision" => revision);
             return false;
         };
+        let mut record = record;
+        if let Some(held) = self.snapshot.shards.get(&service).filter(|it| it.revision == revision)
+        {
+            // The assigner told since that some keys are in use.
+            for entry in held.record.entries.iter().filter(|it| it.is_settled()) {
+                record.settle(entry.range, entry.holder.token);
+            }
+        }
         let stored = StoredShards { revision, record: Arc::new(record) };
         self.snapshot.shards.insert(service, stored);
         true
@@ -306,6 +314,19 @@
         self.note_shards(note.service.clone(), stored)
     }
 
+    /// Takes in that the holder of some keys has been granted them. The record in the store follows.
+    pub fn apply_opened_note(&mut self, note: &OpenedNote) -> bool {
+        let held = self.snapshot.shards.get_mut(&note.service);
+        let Some(held) = held.filter(|it| it.revision >= note.revision) else {
+            return false;
+        };
+        let mut record = (*held.record).clone();
+        record.settle(note.range, note.token);
+        let is_changed = record != *held.record;
+        held.record = Arc::new(record);
+        is_changed
+    }
+
     /// Takes in shards that this process has written itself.
     pub fn note_shards(&mut self, service: ServiceName, stored: StoredShards) -> bool {
         let held = self.snapshot.shards.get(&service).map_or(0, |it| it.revision);
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -7,11 +7,11 @@
 use std::{net::SocketAddr, time::Duration};
 
 use model::{ServerName, ServiceName, VmName};
-use ownership::ShardDelta;
+use ownership::{KeyRange, ShardDelta};
 use serde::{Deserialize, Serialize};
 
 /// Time between reports.
-pub const REPORT_INTERVAL: Duration = Duration::from_millis(400);
+pub const REPORT_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Most bytes of one datagram.
 const MAX_DATAGRAM_BYTES: usize = 32 * 1024;
@@ -43,6 +43,19 @@
     pub delta: ShardDelta,
 }
 
+/// Keys that their new holder has been granted, ahead of the record that says so.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct OpenedNote {
+    /// The service.
+    pub service: ServiceName,
+    /// Store revision of the record that gave the keys to the holder.
+    pub revision: u64,
+    /// The keys.
+    pub range: KeyRange,
+    /// The holder's token.
+    pub token: u64,
+}
+
 /// One datagram.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum PeerNote {
@@ -50,6 +63,8 @@
     Load(LoadNote),
     /// Changed shards, from the assigner.
     Shards(ShardNote),
+    /// Keys that may be used, from the assigner.
+    Opened(OpenedNote),
 }
 
 /// Encodes a note, unless it is too long for a datagram.
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -207,6 +207,12 @@
                     board.publish(beliefs.snapshot().clone());
                 }
             }
+            Some(PeerNote::Opened(note)) => {
+                let mut beliefs = beliefs.borrow_mut();
+                if beliefs.apply_opened_note(&note) {
+                    board.publish(beliefs.snapshot().clone());
+                }
+            }
             None => (),
         }
     }
--- a/crates/ownership/src/shards.rs
+++ b/crates/ownership/src/shards.rs
@@ -193,15 +193,15 @@
 pub struct ShardLimits {
     /// Relative load above the mean at which keys move.
     pub tolerance: f64,
-    /// Most moves for balance in one round.
-    pub max_moves: usize,
+    /// Most moves for balance in one round, for each server that may take keys.
+    pub max_moves: f64,
     /// Most entries for each server.
     pub max_entries: usize,
 }
 
 impl Default for ShardLimits {
     fn default() -> Self {
-        Self { tolerance: 0.25, max_moves: 4, max_entries: 12 }
+        Self { tolerance: 0.25, max_moves: 0.4, max_entries: 12 }
     }
 }
 
@@ -358,7 +358,8 @@
     /// Moves keys from pressed servers to others.
     fn balance(&mut self, limits: ShardLimits) {
         let most_entries = limits.max_entries * self.receivers.len();
-        for _ in 0..limits.max_moves {
+        let n_moves = (limits.max_moves * self.receivers.len() as f64).ceil() as usize;
+        for _ in 0..n_moves {
             let mean = self.mean();
             let by_pressure = |a: &&&ShardServer, b: &&&ShardServer| {
                 self.pressure(a).total_cmp(&self.pressure(b))
