entry: pass news on as changes, strongest VMs relay and assign

Change: shards travel as changes of the stored record, with a whole reading where a change does not follow; keys opened ahead of the store are kept apart from what it holds; VMs tell their strength. Tests: entry/tests/it/beliefs.rs.

--- a/crates/entry/src/assigner.rs
+++ b/crates/entry/src/assigner.rs
@@ -56,7 +56,7 @@
 const SETTLE_INTERVAL: Duration = Duration::from_millis(400);
 
 /// Time between renewals of a holder's grants.
-const RENEW_INTERVAL: Duration = Duration::from_millis(1_000);
+const RENEW_INTERVAL: Duration = Duration::from_millis(1_500);
 
 /// How long grants hold while the store answers.
 const USUAL_HOLD: Duration = Duration::from_millis(5_000);
@@ -76,6 +76,9 @@
 /// Wait of each further VM before it tries to become the assigner.
 const CAMPAIGN_STAGGER: Duration = Duration::from_millis(120);
 
+/// Most steps that a VM waits.
+const MAX_STAGGERS: u32 = 12;
+
 /// Load that routers report.
 pub type SharedLoads = Rc<RefCell<LoadBook>>;
 
@@ -297,8 +300,13 @@
             return;
         }
         let vacant_since = *self.vacant_since.get_or_insert(now);
-        let rank = beliefs.vms.keys().position(|it| *it == self.settings.vm).unwrap_or(0) as u32;
-        let wait = if is_own_earlier_run { Duration::ZERO } else { CAMPAIGN_STAGGER * rank };
+        let vms = beliefs.vms_by_strength(|_| true);
+        let rank = vms.iter().position(|it| **it == self.settings.vm);
+        let wait = match rank {
+            _ if is_own_earlier_run => Duration::ZERO,
+            Some(rank) => CAMPAIGN_STAGGER * (rank as u32).min(MAX_STAGGERS),
+            None => CAMPAIGN_STAGGER * MAX_STAGGERS,
+        };
         if now.since(vacant_since) < wait {
             return;
         }
@@ -331,7 +339,7 @@
     fn publish_own(&self, revision: u64) {
         let mut beliefs = self.beliefs.borrow_mut();
         beliefs.note_assigner(StoredAssigner { revision, record: self.own_record(false) });
-        self.board.publish(beliefs.snapshot().clone());
+        self.board.publish(&mut beliefs);
     }
 
     fn own_record(&self, has_resigned: bool) -> AssignerRecord {
@@ -411,8 +419,8 @@
                 let note = OpenedNote { service, revision, range, token };
                 {
                     let mut beliefs = self.beliefs.borrow_mut();
-                    beliefs.apply_opened_note(&note);
-                    self.board.publish(beliefs.snapshot().clone());
+                    beliefs.apply_opened_note(note.clone());
+                    self.board.publish(&mut beliefs);
                 }
                 self.tell_routers(PeerNote::Opened(note)).await;
             }
@@ -534,11 +542,9 @@
         lease: HeldLease,
     ) {
         let name = format!("{SHARDS_PREFIX}{service}");
+        let base = stored.map_or(0, |it| it.revision);
         let change = RecordChange {
-            expected: vec![
-                (ASSIGNER_RECORD.to_owned(), lease.revision),
-                (name.clone(), stored.map_or(0, |it| it.revision)),
-            ],
+            expected: vec![(ASSIGNER_RECORD.to_owned(), lease.revision), (name.clone(), base)],
             writes: vec![(name.clone(), encode_record(&next), None)],
             removals: Vec::new(),
         };
@@ -552,9 +558,10 @@
                 self.granted.retain(|it| it.0 != *service);
                 self.needs_token.retain(|it| it.0 != *service);
                 self.founded.entry(service.clone()).or_insert(lease.revision);
-                if let Some(old) = stored {
+                let old = self.beliefs.borrow().stored_shards(service);
+                if let Some(old) = old.filter(|it| it.revision == base) {
                     let delta = ShardDelta::between(&old.record, &next);
-                    let (service, base) = (service.clone(), old.revision);
+                    let service = service.clone();
                     let note = ShardNote { service, base, revision, delta };
                     self.tell_routers(PeerNote::Shards(note)).await;
                 }
@@ -563,8 +570,9 @@
                 book.records.insert(service.clone(), stored.record.clone());
                 drop(book);
                 let mut beliefs = self.beliefs.borrow_mut();
-                if beliefs.note_shards(service.clone(), stored) {
-                    self.board.publish(beliefs.snapshot().clone());
+                if beliefs.stored_shards(service).is_none_or(|it| it.revision < revision) {
+                    beliefs.note_shards(service.clone(), stored);
+                    self.board.publish(&mut beliefs);
                 }
             }
             Err(fault) => {
--- a/crates/entry/src/beliefs.rs
+++ b/crates/entry/src/beliefs.rs
@@ -27,7 +27,7 @@
 const CALL_INTERVAL: Duration = Duration::from_millis(450);
 
 /// Least time between calls when somebody waits for news.
-const URGENT_INTERVAL: Duration = Duration::from_millis(60);
+const URGENT_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Least time between calls to a relay, which tells only what matters.
 const RELAY_INTERVAL: Duration = Duration::from_millis(30);
@@ -43,16 +43,22 @@
 pub struct BeliefBoard {
     sender: Arc<watch::Sender<Arc<BeliefSnapshot>>>,
     urgency: Arc<Notify>,
+    relayed: Option<NewsLog>,
 }
 
 impl Default for BeliefBoard {
     fn default() -> Self {
         let (sender, _) = watch::channel(Arc::default());
-        Self { sender: Arc::new(sender), urgency: Arc::default() }
+        Self { sender: Arc::new(sender), urgency: Arc::default(), relayed: None }
     }
 }
 
 impl BeliefBoard {
+    /// A board that also passes changes on to other VMs.
+    pub fn relaying(relayed: NewsLog) -> Self {
+        Self { relayed: Some(relayed), ..Self::default() }
+    }
+
     /// The present beliefs.
     pub fn current(&self) -> Arc<BeliefSnapshot> {
         self.sender.borrow().clone()
@@ -68,9 +74,13 @@
         self.urgency.notify_one();
     }
 
-    /// Publishes beliefs.
-    pub fn publish(&self, snapshot: BeliefSnapshot) {
-        self.sender.send_replace(Arc::new(snapshot));
+    /// Publishes beliefs to this process's threads, and what has changed to VMs that follow it.
+    pub fn publish(&self, state: &mut BeliefState) {
+        let changes = state.take_changes();
+        if let Some(relayed) = &self.relayed {
+            relayed.add(changes, state.snapshot());
+        }
+        self.sender.send_replace(Arc::new(state.snapshot().clone()));
     }
 }
 
@@ -178,19 +188,18 @@
     fn take_in(&self, told: SourceNews, mark: &mut ReadMark, now: MonoTime) {
         let SourceNews { news, is_complete, age } = told;
         let mut state = self.state.borrow_mut();
-        let changes = match is_complete {
-            true => state.apply_all(news, now),
+        let follows = match is_complete {
+            true => {
+                state.apply_all(news, now);
+                true
+            }
             false => state.apply_news(news, now),
         };
         state.note_age(age, now);
-        if state.needs_rereading(now) {
+        if state.needs_rereading(now) || !follows {
             *mark = ReadMark::default();
         }
-        let has_changed = !changes.is_empty();
-        self.relayed.add(changes, state.snapshot());
-        if has_changed {
-            self.board.publish(state.snapshot().clone());
-        }
+        self.board.publish(&mut state);
     }
 }
 
--- a/crates/entry/src/feed.rs
+++ b/crates/entry/src/feed.rs
@@ -1,10 +1,14 @@
 //! Turns the store's news into what this process believes.
 
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use model::{DomainName, MonoTime, ServerName, ServiceName, VmName};
-use ownership::ShardRecord;
+use ownership::{KeyRange, ShardDelta, ShardRecord};
 use serde::{Serialize, de::DeserializeOwned};
 use slog::{Logger, info, warn};
 
@@ -45,6 +49,11 @@
 #[derive(Debug)]
 pub struct BeliefState {
     snapshot: BeliefSnapshot,
+    /// Shards as the store has them; what is published also counts keys opened since.
+    stored: BTreeMap<ServiceName, StoredShards>,
+    opened: BTreeMap<ServiceName, Vec<(KeyRange, u64)>>,
+    /// Changes since the last publication, for VMs that follow this one.
+    changes: Vec<FeedEvent>,
     faulted_at: Option<MonoTime>,
     log: Logger,
 }
@@ -52,7 +61,14 @@
 impl BeliefState {
     /// Believes nothing yet.
     pub fn new(log: Logger) -> Self {
-        Self { snapshot: BeliefSnapshot::default(), faulted_at: None, log }
+        Self {
+            snapshot: BeliefSnapshot::default(),
+            stored: BTreeMap::new(),
+            opened: BTreeMap::new(),
+            changes: Vec::new(),
+            faulted_at: None,
+            log,
+        }
     }
 
     /// The present beliefs.
@@ -60,6 +76,11 @@
         &self.snapshot
     }
 
+    /// Takes the changes since the last call, in order.
+    pub fn take_changes(&mut self) -> Vec<FeedEvent> {
+        std::mem::take(&mut self.changes)
+    }
+
     /// Notes how old the last news already were when they came.
     pub fn note_age(&mut self, age: Duration, now: MonoTime) {
         self.snapshot.fresh_at = now - age;
@@ -75,31 +96,35 @@
         self.faulted_at.is_some_and(|it| now.since(it) < LAPSE_SUSPICION)
     }
 
-    /// Takes in changes that were current at `now`; returns those that matter.
-    pub fn apply_news(&mut self, news: FeedNews, now: MonoTime) -> Vec<FeedEvent> {
+    /// Takes in changes that were current at `now`; tells whether they follow what is believed.
+    pub fn apply_news(&mut self, news: FeedNews, now: MonoTime) -> bool {
         self.snapshot.fresh_at = now;
-        let mut changes = Vec::new();
+        let mut follows = true;
         for event in news.events {
-            if self.apply_event(event.clone(), now) {
-                changes.push(event);
+            match event {
+                FeedEvent::Shards(note) => follows &= self.apply_shard_note(note),
+                event => self.take_event(event, now),
             }
         }
-        changes
+        follows
+    }
+
+    fn take_event(&mut self, event: FeedEvent, now: MonoTime) {
+        if self.apply_event(event.clone(), now) {
+            self.changes.push(event);
+        }
     }
 
     /// Takes in the complete state; what it lacks is gone.
-    pub fn apply_all(&mut self, news: FeedNews, now: MonoTime) -> Vec<FeedEvent> {
+    pub fn apply_all(&mut self, news: FeedNews, now: MonoTime) {
         let mut listed = Listed::default();
         for event in &news.events {
             listed.note(event);
         }
-        let mut changes = self.apply_news(news, now);
+        self.apply_news(news, now);
         for event in self.unlisted(&listed) {
-            if self.apply_event(event.clone(), now) {
-                changes.push(event);
-            }
+            self.take_event(event, now);
         }
-        changes
     }
 
     /// The removal of everything that is believed and not listed.
@@ -147,6 +172,7 @@
                 is_changed
             }
             FeedEvent::Record { name, revision, value } => self.record_seen(&name, revision, value),
+            FeedEvent::Shards(note) => self.apply_shard_note(note),
             FeedEvent::Unreadable { name, cause } => {
                 warn!(self.log, "news-unreadable"; "what" => name, "cause" => cause);
                 false
@@ -156,7 +182,7 @@
 
     fn server_seen(&mut self, name: ServerName, entry: ServerEntry, now: MonoTime) -> bool {
         let cold_until = now + entry.cold_left;
-        let held = self.snapshot.servers.get_mut(&name);
+        let held = Arc::make_mut(&mut self.snapshot.servers).get_mut(&name);
         let leaving_since = entry.is_draining.then_some(now);
         match held {
             Some(held) if held.entry.born == entry.born && held.entry.address == entry.address => {
@@ -192,7 +218,7 @@
                     leaving_since,
                     is_missing: false,
                 };
-                self.snapshot.servers.insert(name, seen);
+                Arc::make_mut(&mut self.snapshot.servers).insert(name, seen);
                 self.snapshot.index_servers();
                 true
             }
@@ -201,7 +227,7 @@
 
     fn server_removed(&mut self, name: &ServerName, now: MonoTime) -> bool {
         let is_lapse = self.suspects_lapse(now);
-        let Some(server) = self.snapshot.servers.get_mut(name) else {
+        let Some(server) = Arc::make_mut(&mut self.snapshot.servers).get_mut(name) else {
             return false;
         };
         if is_lapse {
@@ -209,7 +235,7 @@
             return !std::mem::replace(&mut server.is_missing, true);
         }
         info!(self.log, "server-gone"; "server" => %name);
-        self.snapshot.servers.remove(name);
+        Arc::make_mut(&mut self.snapshot.servers).remove(name);
         self.snapshot.index_servers();
         true
     }
@@ -243,10 +269,9 @@
         let record = value.and_then(|it| decode_record(ASSIGNER_RECORD, &it, &self.log));
         let assigner = record.map(|record| StoredAssigner { revision, record });
         self.snapshot.assigner_revision = assigner.as_ref().map_or(0, |it| it.revision);
-        let is_known = assigner.is_none() && self.snapshot.assigner.is_none();
+        let is_changed = assigner != self.snapshot.assigner;
         self.snapshot.assigner = assigner;
-        // What this process has written itself is news to those that follow it.
-        !is_known
+        is_changed
     }
 
     fn shards_seen(
@@ -259,9 +284,7 @@
         let (Some(value), Ok(service)) = (value, ServiceName::try_from(service)) else {
             return false;
         };
-        let held = self.snapshot.shards.get(&service).map_or(0, |it| it.revision);
-        // What a datagram told already is still news to those that follow this process.
-        if revision < held {
+        if revision <= self.stored_revision(&service) {
             return false;
         }
         let record: Option<ShardRecord> = decode_record(name, &value, &self.log);
@@ -269,17 +292,12 @@
             warn!(self.log, "record-unsound"; "record" => name, "revision" => revision);
             return false;
         };
-        let mut record = record;
-        if let Some(held) = self.snapshot.shards.get(&service).filter(|it| it.revision == revision)
-        {
-            // The assigner told since that some keys are in use.
-            for entry in held.record.entries.iter().filter(|it| it.is_settled()) {
-                record.settle(entry.range, entry.holder.token);
-            }
-        }
-        let stored = StoredShards { revision, record: Arc::new(record) };
-        self.snapshot.shards.insert(service, stored);
-        true
+        self.note_shards(service, StoredShards { revision, record: Arc::new(record) });
+        false
+    }
+
+    fn stored_revision(&self, service: &ServiceName) -> u64 {
+        self.stored.get(service).map_or(0, |it| it.revision)
     }
 
     fn vm_seen(&mut self, name: &str, vm: &str, value: Option<Bytes>) -> bool {
@@ -289,52 +307,96 @@
         match value.and_then(|it| decode_record(name, &it, &self.log)) {
             Some(presence) => {
                 let is_changed = self.snapshot.vms.get(&vm) != Some(&presence);
-                self.snapshot.vms.insert(vm, presence);
+                Arc::make_mut(&mut self.snapshot.vms).insert(vm, presence);
                 is_changed
             }
-            None => self.snapshot.vms.remove(&vm).is_some(),
+            None => Arc::make_mut(&mut self.snapshot.vms).remove(&vm).is_some(),
         }
     }
 
-    /// Takes in that this process has become the assigner.
-    pub fn note_assigner(&mut self, assigner: StoredAssigner) {
-        if assigner.revision > self.snapshot.assigner_revision {
-            self.snapshot.assigner_revision = assigner.revision;
-            self.snapshot.assigner = Some(assigner);
+    /// Takes in a change of shards told by another VM; tells whether it follows what is believed.
+    pub fn apply_shard_note(&mut self, note: ShardNote) -> bool {
+        let ShardNote { service, base, revision, delta } = note;
+        let held = self.stored.get(&service);
+        if held.is_some_and(|it| it.revision >= revision) {
+            return true;
         }
-    }
-
-    /// Takes in changed shards that the assigner told directly, if they follow what is believed.
-    pub fn apply_shard_note(&mut self, note: &ShardNote) -> bool {
-        let held = self.snapshot.shards.get(&note.service).filter(|it| it.revision == note.base);
-        let Some(record) = held.and_then(|it| note.delta.apply(&it.record)) else {
+        let held = held.filter(|it| it.revision == base);
+        let Some(record) = held.and_then(|it| delta.apply(&it.record)) else {
             return false;
         };
-        let stored = StoredShards { revision: note.revision, record: Arc::new(record) };
-        self.note_shards(note.service.clone(), stored)
+        self.note_shards(service, StoredShards { revision, record: Arc::new(record) });
+        true
     }
 
     /// Takes in that the holder of some keys has been granted them. The record in the store follows.
-    pub fn apply_opened_note(&mut self, note: &OpenedNote) -> bool {
-        let held = self.snapshot.shards.get_mut(&note.service);
-        let Some(held) = held.filter(|it| it.revision >= note.revision) else {
-            return false;
+    pub fn apply_opened_note(&mut self, note: OpenedNote) {
+        let is_current = self.stored_revision(&note.service) >= note.revision;
+        if is_current {
+            let opened = self.opened.entry(note.service.clone()).or_default();
+            opened.push((note.range, note.token));
+            self.merge_opened(&note.service);
+        }
+    }
+
+    /// Takes in a newer record of the store, read or written by this process.
+    pub fn note_shards(&mut self, service: ServiceName, stored: StoredShards) {
+        let old = self.stored.insert(service.clone(), stored.clone());
+        let name = format!("{SHARDS_PREFIX}{service}");
+        self.changes.push(match old {
+            Some(old) => FeedEvent::Shards(ShardNote {
+                service: service.clone(),
+                base: old.revision,
+                revision: stored.revision,
+                delta: ShardDelta::between(&old.record, &stored.record),
+            }),
+            None => {
+                let value = Some(encode_record(&*stored.record));
+                FeedEvent::Record { name, revision: stored.revision, value }
+            }
+        });
+        self.merge_opened(&service);
+    }
+
+    /// Publishes the service's stored shards with the keys that were opened since.
+    fn merge_opened(&mut self, service: &ServiceName) {
+        let Some(StoredShards { revision, record }) = self.stored.get(service).cloned() else {
+            return;
         };
-        let mut record = (*held.record).clone();
-        record.settle(note.range, note.token);
-        let is_changed = record != *held.record;
-        held.record = Arc::new(record);
-        is_changed
+        let opened = self.opened.entry(service.clone()).or_default();
+        opened.retain(|(range, token)| {
+            record.entries.iter().any(|it| {
+                !it.is_settled() && it.holder.token == *token && range.contains(it.range.first)
+            })
+        });
+        let record = match opened.is_empty() {
+            true => record,
+            false => {
+                let mut merged = (*record).clone();
+                for (range, token) in opened {
+                    merged.settle(*range, *token);
+                }
+                Arc::new(merged)
+            }
+        };
+        self.snapshot.shards.insert(service.clone(), StoredShards { revision, record });
+    }
+
+    /// The record as the store has it.
+    pub fn stored_shards(&self, service: &ServiceName) -> Option<StoredShards> {
+        self.stored.get(service).cloned()
     }
 
-    /// Takes in shards that this process has written itself.
-    pub fn note_shards(&mut self, service: ServiceName, stored: StoredShards) -> bool {
-        let held = self.snapshot.shards.get(&service).map_or(0, |it| it.revision);
-        let is_newer = stored.revision > held;
-        if is_newer {
-            self.snapshot.shards.insert(service, stored);
+    /// Takes in that this process has become the assigner.
+    pub fn note_assigner(&mut self, assigner: StoredAssigner) {
+        if assigner.revision > self.snapshot.assigner_revision {
+            let StoredAssigner { revision, record } = &assigner;
+            let value = Some(encode_record(record));
+            let (name, revision) = (ASSIGNER_RECORD.to_owned(), *revision);
+            self.changes.push(FeedEvent::Record { name, revision, value });
+            self.snapshot.assigner_revision = revision;
+            self.snapshot.assigner = Some(assigner);
         }
-        is_newer
     }
 }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -25,6 +25,7 @@
 pub use beliefs::BeliefBoard;
 pub use connections::{ConnectionPool, ExchangeFault, PeerAnswer, PeerConnection};
 pub use feed::BeliefState;
+pub use gossip::{LoadNote, OpenedNote, PeerNote, ShardNote};
 pub use metrics::EntryMetrics;
 pub use plan::{CallerLimits, PlanRoute, RoutePlan, RouteTarget, ServiceRules};
 pub use ports::{
--- a/crates/entry/src/news.rs
+++ b/crates/entry/src/news.rs
@@ -13,7 +13,6 @@
 use serde::{Deserialize, Serialize};
 use settings::ProcessClock;
 use tokio::{sync::watch, time::timeout};
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{BeliefSnapshot, FeedEvent};
 
@@ -229,8 +228,6 @@
     beliefs: &'a BeliefSnapshot,
     domain: &DomainName,
 ) -> impl Iterator<Item = &'a VmName> {
-    let mut names: Vec<&VmName> =
-        beliefs.vms.iter().filter(|(_, it)| it.domain == *domain).map(|(vm, _)| vm).collect();
-    names.sort_by_key(|it| xxh3_64(it.as_str().as_bytes()));
+    let names = beliefs.vms_by_strength(|it| it.domain == *domain);
     names.into_iter().take(FOLLOWERS_PER_DOMAIN)
 }
--- a/crates/entry/src/ports.rs
+++ b/crates/entry/src/ports.rs
@@ -9,7 +9,7 @@
 use policy::LoadReport;
 use serde::{Deserialize, Serialize};
 
-use crate::RoutePlan;
+use crate::{RoutePlan, gossip::ShardNote};
 
 /// A server as it describes itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -50,6 +50,8 @@
         /// Its bytes.
         value: Option<Bytes>,
     },
+    /// A change of shards; told by other VMs only.
+    Shards(ShardNote),
     /// News that can't be read; the cause is logged.
     Unreadable {
         /// What was to be read.
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -55,8 +55,9 @@
     log: Logger,
 ) -> eyre::Result<()> {
     let clock = ProcessClock::default();
-    let board = BeliefBoard::default();
     let incarnation = clock.incarnation();
+    let relayed = NewsLog::new(incarnation, clock);
+    let board = BeliefBoard::relaying(relayed.clone());
     info!(log, "started"; "vm" => %settings.vm, "domain" => %settings.domain,
         "incarnation" => incarnation, "store" => %settings.store, "callers" => %settings.callers);
     let (stop_sender, stop) = watch::channel(false);
@@ -64,7 +65,8 @@
         let (settings, board, log) = (settings.clone(), board.clone(), log.clone());
         let (format, stop) = (format.clone(), stop.clone());
         thread::Builder::new().name("control".to_owned()).spawn(move || {
-            let parts = ControlParts { settings, store, format, incarnation, clock, board, stop };
+            let parts =
+                ControlParts { settings, store, format, incarnation, clock, board, relayed, stop };
             run_control(parts, log)
         })?
     };
@@ -102,6 +104,7 @@
     incarnation: u64,
     clock: ProcessClock,
     board: BeliefBoard,
+    relayed: NewsLog,
     stop: watch::Receiver<bool>,
 }
 
@@ -115,10 +118,10 @@
     };
     let local = LocalSet::new();
     local.block_on(&runtime, async move {
-        let ControlParts { settings, store, format, incarnation, clock, board, stop } = parts;
+        let ControlParts { settings, store, format, incarnation, clock, board, relayed, stop } =
+            parts;
         let beliefs = Rc::new(RefCell::new(BeliefState::new(log.clone())));
         let loads: SharedLoads = Rc::new(RefCell::new(LoadBook::default()));
-        let relayed = NewsLog::new(incarnation, clock);
         let follower = NewsFollower {
             store: store.clone(),
             local: settings.callers.ip(),
@@ -141,6 +144,7 @@
         ));
         let presence = VmPresence {
             domain: settings.domain.clone(),
+            strength: settings.strength,
             reports: settings.reports,
             news: settings.news,
             incarnation,
@@ -203,15 +207,15 @@
             Some(PeerNote::Load(note)) => take_load(&loads, note, clock.now()),
             Some(PeerNote::Shards(note)) => {
                 let mut beliefs = beliefs.borrow_mut();
-                if beliefs.apply_shard_note(&note) {
-                    board.publish(beliefs.snapshot().clone());
+                // A note that does not follow is made up for by the news.
+                if beliefs.apply_shard_note(note) {
+                    board.publish(&mut beliefs);
                 }
             }
             Some(PeerNote::Opened(note)) => {
                 let mut beliefs = beliefs.borrow_mut();
-                if beliefs.apply_opened_note(&note) {
-                    board.publish(beliefs.snapshot().clone());
-                }
+                beliefs.apply_opened_note(note);
+                board.publish(&mut beliefs);
             }
             None => (),
         }
--- a/crates/entry/src/settings_file.rs
+++ b/crates/entry/src/settings_file.rs
@@ -16,6 +16,8 @@
     reports_port: u16,
     news_port: u16,
     metrics_port: u16,
+    /// Cores that the VM has.
+    cores: f64,
     store: String,
     /// Share of first sends that may be sent again, over all VMs.
     retry_ratio: f64,
@@ -53,6 +55,8 @@
     pub reports: SocketAddr,
     /// Where this VM passes news on.
     pub news: SocketAddr,
+    /// Thousandths of a core that the VM has.
+    pub strength: u32,
     /// Where metrics and dumps are read.
     pub metrics: SocketAddr,
     /// The store.
@@ -106,6 +110,7 @@
             readiness: address("readiness", &raw.readiness)?,
             reports: at_port(raw.reports_port),
             news: at_port(raw.news_port),
+            strength: (raw.cores.max(0.0) * 1_000.0) as u32,
             metrics: at_port(raw.metrics_port),
             store: address("store", &raw.store)?,
             retries: RetryBounds {
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -1,6 +1,7 @@
 //! What a process believes, as one immutable value that traffic reads without locks.
 
 use std::{
+    cmp::Reverse,
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::Arc,
@@ -9,6 +10,7 @@
 use model::{DomainName, MonoTime, ServerName, ServiceName, VmName};
 use ownership::{ServerLife, ShardRecord};
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     FeedEvent, RoutePlan, ServerEntry,
@@ -21,9 +23,9 @@
     /// The plan in force; nothing until the first has been read.
     pub plan: Option<Arc<RoutePlan>>,
     /// Known servers.
-    pub servers: BTreeMap<ServerName, SeenServer>,
+    pub servers: Arc<BTreeMap<ServerName, SeenServer>>,
     /// Servers by service.
-    pub by_service: BTreeMap<ServiceName, Vec<ServerName>>,
+    pub by_service: Arc<BTreeMap<ServiceName, Vec<ServerName>>>,
     /// Failure domains that operators want empty, and since when this process knows.
     pub evacuated: BTreeMap<DomainName, MonoTime>,
     /// Who holds which keys, by service.
@@ -33,7 +35,7 @@
     /// Revision of the assigner's record, also of one that names nobody.
     pub assigner_revision: u64,
     /// Entry VMs that are present.
-    pub vms: BTreeMap<VmName, VmPresence>,
+    pub vms: Arc<BTreeMap<VmName, VmPresence>>,
     /// When the store last answered.
     pub fresh_at: MonoTime,
 }
@@ -98,6 +100,8 @@
 pub struct VmPresence {
     /// Its failure domain.
     pub domain: DomainName,
+    /// Thousandths of a core that it has; the strongest VMs do most for the others.
+    pub strength: u32,
     /// Where its process hears datagrams of the others.
     pub reports: SocketAddr,
     /// Where its process passes news on.
@@ -111,6 +115,14 @@
 }
 
 impl BeliefSnapshot {
+    /// VMs that satisfy `fits`, strongest first; equals in an order of their names' hashes.
+    pub fn vms_by_strength(&self, fits: impl Fn(&VmPresence) -> bool) -> Vec<&VmName> {
+        let mut vms: Vec<(&VmName, &VmPresence)> =
+            self.vms.iter().filter(|(_, it)| fits(it)).collect();
+        vms.sort_by_key(|(vm, it)| (Reverse(it.strength), xxh3_64(vm.as_str().as_bytes())));
+        vms.into_iter().map(|(vm, _)| vm).collect()
+    }
+
     /// Servers of a service that may take new work now. Those that are missing from the store
     /// count only while no other is left.
     pub fn usable(&self, service: &ServiceName) -> impl Iterator<Item = &SeenServer> {
@@ -132,7 +144,7 @@
     pub fn to_events(&self, now: MonoTime) -> Vec<FeedEvent> {
         let mut events: Vec<FeedEvent> = Vec::new();
         events.extend(self.plan.as_ref().map(|it| FeedEvent::Plan((**it).clone())));
-        for (name, server) in &self.servers {
+        for (name, server) in &*self.servers {
             let mut entry = (*server.entry).clone();
             entry.cold_left = server.cold_until.since(now);
             events.push(FeedEvent::Server(name.clone(), Some(entry)));
@@ -145,7 +157,7 @@
             let name = format!("{SHARDS_PREFIX}{service}");
             events.push(record_event(name, *revision, &**record));
         }
-        for (vm, presence) in &self.vms {
+        for (vm, presence) in &*self.vms {
             events.push(record_event(format!("{VM_PREFIX}{vm}"), 0, presence));
         }
         events
@@ -153,10 +165,11 @@
 
     /// Rebuilds the index of servers by service.
     pub fn index_servers(&mut self) {
-        self.by_service.clear();
-        for (name, server) in &self.servers {
-            self.by_service.entry(server.entry.service.clone()).or_default().push(name.clone());
+        let mut by_service: BTreeMap<ServiceName, Vec<ServerName>> = BTreeMap::new();
+        for (name, server) in &*self.servers {
+            by_service.entry(server.entry.service.clone()).or_default().push(name.clone());
         }
+        self.by_service = Arc::new(by_service);
     }
 
     /// Services that own keys.
--- a/crates/entry/tests/it/beliefs.rs
+++ b/crates/entry/tests/it/beliefs.rs
@@ -2,9 +2,9 @@
 
 use std::{sync::Arc, time::Duration};
 
-use entry::{BeliefState, FeedEvent, FeedNews, ServerEntry, StoredShards};
+use entry::{BeliefState, FeedEvent, FeedNews, OpenedNote, ServerEntry, ShardNote, StoredShards};
 use model::{DomainName, MonoTime, ServerName, ServiceName};
-use ownership::{KeyRange, ServerLife, ShardEntry, ShardHolder, ShardRecord};
+use ownership::{KeyRange, ServerLife, ShardDelta, ShardEntry, ShardHolder, ShardRecord};
 use slog::{Discard, Logger, o};
 
 fn server(name: &str) -> ServerEntry {
@@ -70,29 +70,71 @@
     assert_eq!(usable(&state), ["two"]);
 }
 
+fn archive() -> ServiceName {
+    ServiceName::try_from("archive").expect("a name")
+}
+
+fn life(name: &str) -> ServerLife {
+    let address = "127.0.0.1:9".parse().expect("an address");
+    ServerLife { server: server(name).name, born: 7, address }
+}
+
+fn shards(token: u64, leaving: &[u64]) -> ShardRecord {
+    let holder = |token| ShardHolder { life: life("one"), token };
+    let leaving = leaving.iter().map(|it| holder(*it)).collect();
+    let entry = ShardEntry { range: KeyRange::ALL, holder: holder(token), leaving };
+    ShardRecord { next_token: token + 1, entries: vec![entry] }
+}
+
+fn stored(revision: u64, record: &ShardRecord) -> StoredShards {
+    StoredShards { revision, record: Arc::new(record.clone()) }
+}
+
 /// Followers of the assigner's VM missed shards whose datagram was lost (quiet-1 of sabana-gw).
 #[test]
-fn shards_known_from_a_datagram_are_still_passed_on_as_news() {
+fn shards_written_or_heard_directly_are_passed_on_once_as_a_change() {
     let mut state = state();
-    let service = ServiceName::try_from("archive").expect("a name");
-    let life = ServerLife {
-        server: server("one").name,
-        born: 7,
-        address: "127.0.0.1:9".parse().expect("an address"),
+    state.note_shards(archive(), stored(5, &shards(1, &[])));
+    state.take_changes();
+    state.note_shards(archive(), stored(8, &shards(2, &[1])));
+    let [FeedEvent::Shards(note)] = &state.take_changes()[..] else {
+        panic!("one change of shards");
     };
-    let entry = ShardEntry {
-        range: KeyRange::ALL,
-        holder: ShardHolder { life, token: 1 },
-        leaving: Vec::new(),
-    };
-    let record = ShardRecord { next_token: 2, entries: vec![entry] };
-    let stored = StoredShards { revision: 5, record: Arc::new(record.clone()) };
-    assert!(state.note_shards(service, stored));
+    assert_eq!((note.base, note.revision), (5, 8));
     let event = FeedEvent::Record {
         name: "shards/archive".to_owned(),
-        revision: 5,
-        value: Some(serde_json::to_vec(&record).expect("encoded").into()),
+        revision: 8,
+        value: Some(serde_json::to_vec(&shards(2, &[1])).expect("encoded").into()),
+    };
+    state.apply_news(FeedNews { revision: 8, events: vec![event] }, at(9));
+    assert_eq!(state.take_changes(), []);
+}
+
+#[test]
+fn a_change_of_shards_that_does_not_follow_is_refused() {
+    let (old, new) = (shards(1, &[]), shards(2, &[1]));
+    let note = ShardNote {
+        service: archive(),
+        base: 6,
+        revision: 8,
+        delta: ShardDelta::between(&old, &new),
     };
-    let changes = state.apply_news(FeedNews { revision: 5, events: vec![event.clone()] }, at(9));
-    assert_eq!(changes, [event]);
+    let mut state = state();
+    state.note_shards(archive(), stored(5, &old));
+    assert!(!state.apply_shard_note(note.clone()), "revision 6 is missing");
+    assert!(state.apply_shard_note(ShardNote { base: 5, ..note }));
+    assert_eq!(*state.snapshot().shards[&archive()].record, new);
+}
+
+#[test]
+fn opened_keys_stay_open_when_the_store_repeats_the_record() {
+    let moving = shards(2, &[1]);
+    let mut state = state();
+    state.note_shards(archive(), stored(8, &moving));
+    let note = OpenedNote { service: archive(), revision: 8, range: KeyRange::ALL, token: 2 };
+    state.apply_opened_note(note);
+    state.note_shards(archive(), stored(9, &moving));
+    let record = state.snapshot().shards[&archive()].record.clone();
+    assert!(record.entries[0].is_settled());
+    assert!(!state.stored_shards(&archive()).expect("stored").record.entries[0].is_settled());
 }
