entry, ownership: fence unanswered grants off before their keys move; notice silent relays in time

Change: a move keeps a token before its own; where the earlier holder left a grant unanswered it is granted that token briefly, so that it refuses the late one; keys do not move for balance off such holders. Relays count as stale after 1.1 s.

--- a/crates/entry/src/assigner.rs
+++ b/crates/entry/src/assigner.rs
@@ -15,8 +15,8 @@
 
 use model::{MonoTime, ServerName, ServiceName};
 use ownership::{
-    KeyLoad, KeyRange, ServerLife, ServerStanding, ShardDelta, ShardEntry, ShardLimits,
-    ShardRecord, ShardServer, plan_shards,
+    KeyLoad, KeyRange, ServerLife, ServerStanding, ShardDelta, ShardEntry, ShardHolder,
+    ShardLimits, ShardRecord, ShardServer, plan_shards,
 };
 use settings::ProcessClock;
 use slog::{Logger, info, warn};
@@ -49,6 +49,9 @@
 /// Time between rounds.
 const ROUND_INTERVAL: Duration = Duration::from_millis(100);
 
+/// How long a grant holds that only fences earlier ones off.
+const FENCE_HOLD: Duration = Duration::from_millis(1_000);
+
 /// Time between plans for balance.
 const BALANCE_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -134,11 +137,46 @@
     acked: BTreeSet<(ServiceName, KeyRange, u64)>,
     /// The records in force; an order that they do not call for is not sent.
     records: BTreeMap<ServiceName, Arc<ShardRecord>>,
+    /// Grants that may still be carried out.
+    unanswered: BTreeMap<ServerLife, Vec<UnansweredGrant>>,
     /// Held while a grant to a life is on its way, so that no release overtakes it.
     grant_locks: BTreeMap<ServerLife, Rc<Mutex<()>>>,
 }
 
+/// A grant that may be carried out later than it was sent.
+#[derive(Debug, Clone, Copy)]
+struct UnansweredGrant {
+    range: KeyRange,
+    token: u64,
+    /// When it has surely no effect any more, as its time counts from its arrival.
+    until: MonoTime,
+}
+
 impl OrderBook {
+    /// Notes a grant that was sent and not answered.
+    fn note_unanswered(&mut self, life: &ServerLife, grant: UnansweredGrant) {
+        self.unanswered.entry(life.clone()).or_default().push(grant);
+    }
+
+    /// Notes an acknowledged grant; the server refuses smaller tokens on its keys from then on.
+    fn note_acked(&mut self, life: &ServerLife, range: KeyRange, token: u64) {
+        if let Some(grants) = self.unanswered.get_mut(life) {
+            grants.retain(|it| !(range.covers(it.range) && it.token < token));
+        }
+    }
+
+    /// Until when a grant to `life` may take some of `range` belatedly.
+    fn unanswered_until(
+        &mut self,
+        life: &ServerLife,
+        range: KeyRange,
+        now: MonoTime,
+    ) -> Option<MonoTime> {
+        let grants = self.unanswered.get_mut(life)?;
+        grants.retain(|it| it.until > now);
+        grants.iter().filter(|it| it.range.overlaps(range)).map(|it| it.until).max()
+    }
+
     /// Whether the records call for this grant.
     fn calls_for(&self, service: &ServiceName, entry: &ShardEntry) -> bool {
         let Some(record) = self.records.get(service) else {
@@ -529,7 +567,9 @@
                     () => ServerStanding::Serving,
                 };
                 let capacity = f64::from(it.entry.slots) * speed;
-                ShardServer { life: it.life(), capacity, standing }
+                let life = it.life();
+                let until = self.book.borrow_mut().unanswered_until(&life, KeyRange::ALL, now);
+                ShardServer { life, capacity, standing, is_certain: until.is_none() }
             })
             .collect()
     }
@@ -752,13 +792,49 @@
             .orders
             .grant(&holder.life, entry.range, holder.token, self.hold, handover, kind, note_sent)
             .await;
-        if let OrderEnd::Done(_) = res {
-            let key = (self.service.clone(), entry.range, holder.token);
-            self.book.borrow_mut().acked.insert(key);
+        let mut book = self.book.borrow_mut();
+        let (range, token) = (entry.range, holder.token);
+        match res {
+            OrderEnd::Done(_) => {
+                book.acked.insert((self.service.clone(), range, token));
+                book.note_acked(&holder.life, range, token);
+            }
+            OrderEnd::Silent(_) => {
+                book.note_unanswered(&holder.life, UnansweredGrant { range, token, until: end });
+            }
+            _ => (),
         }
+        drop(book);
         Some(res)
     }
 
+    /// Grants the keys of a move for a short time under the token kept for it, so that the server
+    /// refuses earlier grants that it has not answered; tells whether it acknowledged.
+    async fn fence(&self, range: KeyRange, life: &ServerLife, token: u64) -> bool {
+        let lock = self.book.borrow_mut().grant_lock(life);
+        let _guard = lock.lock().await;
+        if !self.is_authorised() {
+            return false;
+        }
+        let until = hold_end(self.clock.now(), FENCE_HOLD);
+        let res =
+            self.orders.grant(life, range, token, FENCE_HOLD, None, GrantKind::First, || ()).await;
+        let mut book = self.book.borrow_mut();
+        match res {
+            OrderEnd::Done(_) => book.note_acked(life, range, token),
+            OrderEnd::Silent(_) => {
+                book.note_unanswered(life, UnansweredGrant { range, token, until });
+            }
+            _ => (),
+        }
+        let free_at = book.free_at.entry(life.clone()).or_default();
+        *free_at = (*free_at).max(until);
+        drop(book);
+        info!(self.log, "unanswered-grants-fenced"; "server" => %life.server, "token" => token,
+            "end" => ?res);
+        matches!(res, OrderEnd::Done(_))
+    }
+
     async fn renew(&self, life: &ServerLife, entries: Vec<ShardEntry>) {
         for entry in entries {
             let key = (self.service.clone(), entry.range, entry.holder.token);
@@ -787,7 +863,8 @@
             if dead.iter().any(|it| it.is_same(&holder.life)) {
                 continue;
             }
-            let Some(told) = self.free(entry.range, &holder.life, holder.token).await else {
+            let fence = entry.holder.token - 1;
+            let Some(told) = self.free(entry.range, holder, fence).await else {
                 return;
             };
             handover = told.or(handover);
@@ -813,12 +890,26 @@
     }
 
     /// Waits until `life` holds nothing of `range`; nothing when the lease is lost meanwhile.
-    async fn free(&self, range: KeyRange, life: &ServerLife, token: u64) -> Option<Option<String>> {
+    async fn free(
+        &self,
+        range: KeyRange,
+        holder: &ShardHolder,
+        fence: u64,
+    ) -> Option<Option<String>> {
+        let life = &holder.life;
+        let mut token = holder.token;
         let mut is_logged = false;
         loop {
             if !self.is_authorised() {
                 return None;
             }
+            let now = self.clock.now();
+            if self.book.borrow_mut().unanswered_until(life, range, now).is_some()
+                && token < fence
+                && self.fence(range, life, fence).await
+            {
+                token = fence;
+            }
             let free_at = self.book.borrow().free_at.get(life).copied().unwrap_or_default();
             if self.clock.now() >= free_at {
                 info!(self.log, "hold-lapsed"; "server" => %life.server, "token" => token);
@@ -827,7 +918,14 @@
             let lock = self.book.borrow_mut().grant_lock(life);
             drop(lock.lock().await);
             match self.orders.release(life, range, token, RELEASE_PATIENCE).await {
-                OrderEnd::Done(handover) => return Some(handover),
+                OrderEnd::Done(handover) => {
+                    let now = self.clock.now();
+                    let until = self.book.borrow_mut().unanswered_until(life, range, now);
+                    if let Some(until) = until {
+                        sleep(until.since(now)).await;
+                    }
+                    return Some(handover);
+                }
                 end if !is_logged => {
                     is_logged = true;
                     info!(self.log, "release-failed"; "server" => %life.server, "token" => token,
--- a/crates/entry/src/beliefs.rs
+++ b/crates/entry/src/beliefs.rs
@@ -18,10 +18,10 @@
 };
 
 /// Longest wait of one watch; silence beyond it and the answer's time is a fault.
-const WATCH_WAIT: Duration = Duration::from_millis(1_500);
+const WATCH_WAIT: Duration = Duration::from_millis(700);
 
 /// Time for the store's answer itself.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Least time between calls while news keeps coming.
 const CALL_INTERVAL: Duration = Duration::from_millis(450);
--- a/crates/entry/src/news.rs
+++ b/crates/entry/src/news.rs
@@ -23,10 +23,10 @@
 const KEPT_EVENTS: usize = 512;
 
 /// Longest wait for the first news.
-pub const NEWS_WAIT: Duration = Duration::from_millis(500);
+pub const NEWS_WAIT: Duration = Duration::from_millis(300);
 
 /// Age of a relay's last word from the store beyond which others look elsewhere.
-pub const STALE_RELAY: Duration = Duration::from_millis(2_300);
+pub const STALE_RELAY: Duration = Duration::from_millis(1_100);
 
 /// Time for which a relay that failed is left alone.
 const RELAY_PAUSE: Duration = Duration::from_millis(3_000);
--- a/crates/entry/src/orders.rs
+++ b/crates/entry/src/orders.rs
@@ -25,6 +25,8 @@
     Rejected(StatusCode),
     /// No answer; the order may be carried out later.
     Silent(StepError),
+    /// Not sent, as there was no connection.
+    NotSent(StepError),
     /// The connection over which this life was last known to answer is gone.
     LineLost,
 }
@@ -114,7 +116,8 @@
                 }
                 self.order_end(&answer)
             }
-            Err(fault) => OrderEnd::Silent(fault.error().clone()),
+            Err(ExchangeFault::Broken(err)) => OrderEnd::Silent(err),
+            Err(fault) => OrderEnd::NotSent(fault.error().clone()),
         }
     }
 
--- a/crates/ownership/src/shards.rs
+++ b/crates/ownership/src/shards.rs
@@ -21,6 +21,16 @@
 }
 
 impl KeyRange {
+    /// Whether the ranges share a key.
+    pub fn overlaps(self, other: Self) -> bool {
+        self.first <= other.last && other.first <= self.last
+    }
+
+    /// Whether all keys of `other` belong to this range.
+    pub fn covers(self, other: Self) -> bool {
+        self.first <= other.first && other.last <= self.last
+    }
+
     /// All keys.
     pub const ALL: Self = Self { first: 0, last: u16::MAX };
 
@@ -67,7 +77,8 @@
 pub struct ShardEntry {
     /// The keys.
     pub range: KeyRange,
-    /// Who holds them, or is to hold them once nobody is leaving.
+    /// Who holds them, or is to hold them once nobody is leaving. While somebody is leaving, the
+    /// token before this one is free for fencing.
     pub holder: ShardHolder,
     /// Earlier holders that may still work on the keys.
     pub leaving: Vec<ShardHolder>,
@@ -186,6 +197,8 @@
     pub capacity: f64,
     /// What it may be given.
     pub standing: ServerStanding,
+    /// Whether all its grants have been answered, so that keys can be moved off it at once.
+    pub is_certain: bool,
 }
 
 /// Bounds on what one round changes.
@@ -345,8 +358,9 @@
         receiver: &ShardServer,
         dead: &dyn Fn(&ServerLife) -> bool,
     ) -> ShardEntry {
-        let token = self.record.next_token;
-        self.record.next_token += 1;
+        // The token before it is kept for fencing unanswered grants off before the move.
+        let token = self.record.next_token + 1;
+        self.record.next_token += 2;
         *self.carried.entry(receiver.life.clone()).or_default() += self.load.of(range);
         let mut leaving = entry.leaving.clone();
         leaving.push(entry.holder.clone());
@@ -364,7 +378,8 @@
             let by_pressure = |a: &&&ShardServer, b: &&&ShardServer| {
                 self.pressure(a).total_cmp(&self.pressure(b))
             };
-            let Some(giver) = self.receivers.iter().max_by(by_pressure).copied() else {
+            let givers = self.receivers.iter().filter(|it| it.is_certain);
+            let Some(giver) = givers.max_by(by_pressure).copied() else {
                 return;
             };
             let receiver = self.least_pressed();
