entry, policy: share sights of servers, send refused callers back when it is best for them

Change: VMs tell the strongest VM of their domain what servers report, which tells the others; Retry-After follows the reason and the estimated queue. Tests: policy/tests/it/return_time.rs, gauge.rs.

--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -10,6 +10,8 @@
 use ownership::{KeyRange, ShardDelta};
 use serde::{Deserialize, Serialize};
 
+use crate::sightings::SightsNote;
+
 /// Time between reports.
 pub const REPORT_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -65,6 +67,8 @@
     Shards(ShardNote),
     /// Keys that may be used, from the assigner.
     Opened(OpenedNote),
+    /// What servers report.
+    Sights(SightsNote),
 }
 
 /// Encodes a note, unless it is too long for a datagram.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -18,6 +18,7 @@
 mod run;
 mod settings_file;
 mod sight;
+mod sightings;
 mod snapshot;
 mod traffic;
 
@@ -34,6 +35,7 @@
 };
 pub use run::run_entry;
 pub use settings_file::{EntrySettings, RawEntrySettings, RetryBounds};
+pub use sightings::{OutgoingSights, ServerSighting, SightBoard, SightsNote};
 pub use snapshot::{
     AssignerRecord, BeliefSnapshot, SeenServer, StoredAssigner, StoredShards, VmPresence,
 };
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -1,10 +1,10 @@
 //! The entry process: one thread for control, one for traffic.
 
-use std::{cell::RefCell, rc::Rc, sync::Arc, thread, time::Duration};
+use std::{cell::RefCell, collections::BTreeSet, rc::Rc, sync::Arc, thread, time::Duration};
 
 use eyre::WrapErr;
 use http::StatusCode;
-use model::MonoTime;
+use model::{DomainName, MonoTime};
 use ownership::KeyLoad;
 use peer::{ByteCount, serve_peers};
 use settings::ProcessClock;
@@ -18,8 +18,8 @@
 };
 
 use crate::{
-    AssignerParts, BeliefBoard, EntryMetrics, EntrySettings, KeyAssigner, ServerFormat, StateStore,
-    TrafficServer, VmPresence,
+    AssignerParts, BeliefBoard, EntryMetrics, EntrySettings, KeyAssigner, ServerFormat, SightBoard,
+    SightsNote, StateStore, TrafficServer, VmPresence,
     assigner::{LoadBook, SharedLoads},
     beliefs::NewsFollower,
     edge::{EdgePhase, serve_callers, serve_texts},
@@ -30,6 +30,7 @@
     },
     news::{NewsLog, SourceChoice},
     presence::keep_presence,
+    sightings::SIGHT_INTERVAL,
 };
 
 /// Time after SIGTERM in which the balancer stops sending new connections.
@@ -60,23 +61,35 @@
     let board = BeliefBoard::relaying(relayed.clone());
     info!(log, "started"; "vm" => %settings.vm, "domain" => %settings.domain,
         "incarnation" => incarnation, "store" => %settings.store, "callers" => %settings.callers);
+    let sightings = SightBoard::default();
     let (stop_sender, stop) = watch::channel(false);
     let control = {
         let (settings, board, log) = (settings.clone(), board.clone(), log.clone());
-        let (format, stop) = (format.clone(), stop.clone());
+        let (format, stop, sightings) = (format.clone(), stop.clone(), sightings.clone());
         thread::Builder::new().name("control".to_owned()).spawn(move || {
-            let parts =
-                ControlParts { settings, store, format, incarnation, clock, board, relayed, stop };
+            let parts = ControlParts {
+                settings,
+                store,
+                format,
+                incarnation,
+                clock,
+                board,
+                relayed,
+                sightings,
+                stop,
+            };
             run_control(parts, log)
         })?
     };
     let metrics = EntryMetrics::default();
+    let traffic_sightings = sightings;
     let traffic = Rc::new(TrafficServer::new(
         format,
         settings.clone(),
         board.clone(),
         clock,
         metrics.clone(),
+        traffic_sightings,
         incarnation,
         log.clone(),
     ));
@@ -105,6 +118,7 @@
     clock: ProcessClock,
     board: BeliefBoard,
     relayed: NewsLog,
+    sightings: SightBoard,
     stop: watch::Receiver<bool>,
 }
 
@@ -118,8 +132,17 @@
     };
     let local = LocalSet::new();
     local.block_on(&runtime, async move {
-        let ControlParts { settings, store, format, incarnation, clock, board, relayed, stop } =
-            parts;
+        let ControlParts {
+            settings,
+            store,
+            format,
+            incarnation,
+            clock,
+            board,
+            relayed,
+            sightings,
+            stop,
+        } = parts;
         let beliefs = Rc::new(RefCell::new(BeliefState::new(log.clone())));
         let loads: SharedLoads = Rc::new(RefCell::new(LoadBook::default()));
         let follower = NewsFollower {
@@ -134,8 +157,15 @@
         };
         tokio::task::spawn_local(follower.run());
         tokio::task::spawn_local(pass_news_on(settings.news, relayed, log.clone()));
+        tokio::task::spawn_local(tell_sightings(
+            settings.clone(),
+            sightings.clone(),
+            board.clone(),
+            clock,
+        ));
         tokio::task::spawn_local(hear_notes(
-            settings.reports,
+            settings.clone(),
+            sightings,
             loads.clone(),
             beliefs.clone(),
             board.clone(),
@@ -183,13 +213,15 @@
 
 /// Takes in what other VMs tell.
 async fn hear_notes(
-    address: std::net::SocketAddr,
+    settings: EntrySettings,
+    sightings: SightBoard,
     loads: SharedLoads,
     beliefs: Rc<RefCell<BeliefState>>,
     board: BeliefBoard,
     clock: ProcessClock,
     log: Logger,
 ) {
+    let address = settings.reports;
     let socket = match open_socket(address).await {
         Ok(it) => it,
         Err(err) => {
@@ -217,11 +249,64 @@
                 beliefs.apply_opened_note(note);
                 board.publish(&mut beliefs);
             }
+            Some(PeerNote::Sights(note)) => {
+                sightings.note_told(&note, &settings.domain, clock.now());
+            }
             None => (),
         }
     }
 }
 
+/// Tells others what servers reported: the strongest VM of the domain, which tells all of them.
+async fn tell_sightings(
+    settings: EntrySettings,
+    sightings: SightBoard,
+    board: BeliefBoard,
+    clock: ProcessClock,
+) {
+    let from = std::net::SocketAddr::new(settings.reports.ip(), 0);
+    let Ok(socket) = UdpSocket::bind(from).await else {
+        return;
+    };
+    loop {
+        sleep(SIGHT_INTERVAL).await;
+        let outgoing = sightings.take_outgoing(clock.now());
+        let beliefs = board.current();
+        let hub = beliefs.hub(&settings.domain);
+        let is_hub = hub.is_some_and(|(vm, _)| *vm == settings.vm);
+        let domains: BTreeSet<&DomainName> = beliefs.vms.values().map(|it| &it.domain).collect();
+        let (others, peers): (Vec<_>, Vec<_>) = match is_hub {
+            true => (
+                domains
+                    .into_iter()
+                    .filter(|it| **it != settings.domain)
+                    .filter_map(|it| Some(beliefs.hub(it)?.1.reports))
+                    .collect(),
+                beliefs
+                    .vms
+                    .iter()
+                    .filter(|(vm, it)| it.domain == settings.domain && **vm != settings.vm)
+                    .map(|(_, it)| it.reports)
+                    .collect(),
+            ),
+            false => (hub.map(|(_, it)| it.reports).into_iter().collect(), Vec::new()),
+        };
+        for (sightings, targets) in [(outgoing.others, others), (outgoing.domain, peers)] {
+            if sightings.is_empty() {
+                continue;
+            }
+            let note = SightsNote { domain: settings.domain.clone(), sightings };
+            let Some(bytes) = encode_note(PeerNote::Sights(note)) else {
+                continue;
+            };
+            for target in targets {
+                // A lost note is made up for by the next.
+                let _ = socket.send_to(&bytes, target).await;
+            }
+        }
+    }
+}
+
 fn take_load(loads: &SharedLoads, note: LoadNote, now: MonoTime) {
     let mut loads = loads.borrow_mut();
     for (service, counts) in note.keys {
--- a/crates/entry/src/sight.rs
+++ b/crates/entry/src/sight.rs
@@ -49,7 +49,7 @@
 
     /// Notes that a request is sent.
     pub fn begin(&mut self, now: MonoTime) {
-        self.gauge.begin();
+        self.gauge.begin(now);
         if let Some(Some(pace)) = &mut self.cold_pace {
             pace.note_sent(now);
         }
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -140,6 +140,12 @@
         self.evacuated.contains_key(&server.entry.domain)
     }
 
+    /// The strongest VM of a domain, which passes news and reports on.
+    pub fn hub(&self, domain: &DomainName) -> Option<(&VmName, &VmPresence)> {
+        let vms = self.vms_by_strength(|it| it.domain == *domain);
+        vms.first().and_then(|it| self.vms.get_key_value(*it))
+    }
+
     /// All beliefs as events, for a VM that believes nothing yet.
     pub fn to_events(&self, now: MonoTime) -> Vec<FeedEvent> {
         let mut events: Vec<FeedEvent> = Vec::new();
--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -6,7 +6,7 @@
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header};
 use http_body_util::Full;
 use model::{Idempotency, MonoTime, NotRunReason, ServerName, ServiceName, UnknownReason};
-use policy::{CallEnd, RetryBudget};
+use policy::{CallEnd, RetryBudget, return_time};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use settings::ProcessClock;
 use slog::{Logger, info};
@@ -15,7 +15,7 @@
 
 use crate::{
     BeliefBoard, BeliefSnapshot, ConnectionPool, EntryMetrics, EntrySettings, ExchangeFault,
-    PeerAnswer, PeerConnection, PlanRoute, SeenServer, ServerFormat,
+    PeerAnswer, PeerConnection, PlanRoute, SeenServer, ServerFormat, SightBoard,
     gossip::LoadNote,
     sight::{ServerSight, ServiceSight},
 };
@@ -38,9 +38,6 @@
 /// Part of a server's connections that routers use up together.
 const CONNECTION_SHARE: f64 = 0.85;
 
-/// Part of the time left after which refused callers may return, at most.
-const RETURN_SHARE: f64 = 0.3;
-
 /// Headers of the connection itself, which are not passed on.
 const HOP_HEADERS: [&str; 9] = [
     "connection",
@@ -130,6 +127,7 @@
     board: BeliefBoard,
     clock: ProcessClock,
     metrics: EntryMetrics,
+    sightings: SightBoard,
     state: RefCell<TrafficState>,
     log: Logger,
 }
@@ -142,6 +140,7 @@
         board: BeliefBoard,
         clock: ProcessClock,
         metrics: EntryMetrics,
+        sightings: SightBoard,
         seed: u64,
         log: Logger,
     ) -> Self {
@@ -153,7 +152,7 @@
             rng: SmallRng::seed_from_u64(seed),
             n_open: 0,
         };
-        Self { format, settings, board, clock, metrics, state: RefCell::new(state), log }
+        Self { format, settings, board, clock, metrics, sightings, state: RefCell::new(state), log }
     }
 
     /// The clock by which requests are timed.
@@ -338,6 +337,9 @@
             return SendChoice::Refuse(NotRunReason::ColdServer);
         }
         let typical = state.services.get(&request.service).map_or(0.1, ServiceSight::typical);
+        if let Some((report, at)) = self.sightings.freshest(&server.entry.name) {
+            sight.gauge.note_report(report, at);
+        }
         let expected = sight.gauge.expected_seconds(typical, now);
         match expected > request.left(now).as_secs_f64() {
             true => SendChoice::Refuse(NotRunReason::Overloaded),
@@ -375,11 +377,14 @@
                 reason = NotRunReason::Overloaded;
                 continue;
             }
+            if let Some((report, at)) = self.sightings.freshest(&server.entry.name) {
+                sight.gauge.note_report(report, at);
+            }
             let expected = sight.gauge.expected_seconds(typical, now);
             let crossing =
                 if server.entry.domain == self.settings.domain { 0.0 } else { CROSSING_WEIGHT };
             let pause = if sight.gauge.is_paused(now) { PAUSE_WEIGHT } else { 0.0 };
-            let jitter = 1.0 + 0.1 * state.rng.random::<f64>();
+            let jitter = 1.0 + JITTER * state.rng.random::<f64>();
             let cost = expected / objective * jitter + crossing + pause;
             if best.is_none_or(|(least, _, _)| cost < least) {
                 best = Some((cost, expected, server));
@@ -477,6 +482,7 @@
             && let Some(sight) = self.state.borrow_mut().sights.get_mut(name)
         {
             sight.gauge.note_report(report, now);
+            self.sightings.note_own(name, report, now);
         }
         self.state.borrow_mut().pool.put(connection, now);
         let is_not_run = answer.headers.contains_key(&names.not_run);
@@ -558,6 +564,7 @@
     ) -> CallerAnswer {
         let now = self.clock.now();
         let age = now.since(request.arrived);
+        let refusal = outcome.as_ref().err().copied().filter(|_| request.unknown.is_none());
         let (outcome, label): (Result<PeerAnswer, StatusCode>, String) =
             match (outcome, &request.unknown) {
                 (Ok(answer), _) => (Ok(answer), "answered".into()),
@@ -590,9 +597,10 @@
                     "plan" => self.board.current().plan.as_ref().map_or(0, |it| it.version),
                     "belief_age_ms" => now.since(self.board.current().fresh_at).as_millis() as u64);
                 let mut response = self.own_answer(&request.id, status);
-                if status == StatusCode::SERVICE_UNAVAILABLE {
-                    let seconds = request.left(now).as_secs_f64() * RETURN_SHARE;
-                    if let Ok(value) = format!("{seconds:.3}").parse() {
+                if let Some(reason) = refusal {
+                    let queue = self.shortest_queue(request, now);
+                    let after = return_time(reason, queue, request.left(now)).as_secs_f64();
+                    if let Ok(value) = format!("{after:.3}").parse() {
                         response.headers_mut().insert(header::RETRY_AFTER, value);
                     }
                 }
@@ -601,6 +609,24 @@
         }
     }
 
+    /// Estimated time in the queue of the server that has the shortest.
+    fn shortest_queue(&self, request: &RequestState, now: MonoTime) -> Duration {
+        let beliefs = self.board.current();
+        let state = self.state.borrow();
+        let typical = state.services.get(&request.service).map_or(0.1, ServiceSight::typical);
+        let owner = request.key.and_then(|key| {
+            let entry = beliefs.shards.get(&request.service)?.record.entry(key)?;
+            Some(&entry.holder.life.server)
+        });
+        let queues = beliefs
+            .usable(&request.service)
+            .filter(|it| owner.is_none_or(|name| *name == it.entry.name))
+            .filter_map(|it| state.sights.get(&it.entry.name))
+            .map(|it| it.gauge.queue_seconds(typical, now));
+        let shortest = queues.min_by(f64::total_cmp).unwrap_or_default();
+        Duration::from_secs_f64(shortest)
+    }
+
     fn refuse_early(&self, id: &HeaderValue, status: StatusCode, cause: &str) -> CallerAnswer {
         self.metrics.outcomes.with_label_values(&["-", cause]).inc();
         info!(self.log, "request-refused"; "id" => id.to_str().unwrap_or("-"),
@@ -647,6 +673,9 @@
 /// Time after an evacuation within which requests may still reach keys' owners there.
 const EVACUATION_TIME: Duration = Duration::from_millis(4_000);
 
+/// Spread of the random factor by which routers with the same sight choose differently.
+const JITTER: f64 = 0.3;
+
 /// Cost of a server that failed just now, in parts of the objective.
 const PAUSE_WEIGHT: f64 = 5.0;
 
--- a/crates/policy/src/gauge.rs
+++ b/crates/policy/src/gauge.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use model::MonoTime;
+use smallvec::SmallVec;
 
 /// Age at which a report weighs half.
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(250);
@@ -22,6 +23,9 @@
 /// Share of time for which a server is assumed to be busy while nothing is known of it.
 const ASSUMED_USE: f64 = 0.5;
 
+/// Times of calls that are kept to be added to a report.
+const MAX_SENT_TIMES: usize = 16;
+
 /// A server's own count of its work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LoadReport {
@@ -54,7 +58,8 @@
     slots: u32,
     n_open: u32,
     report: Option<(LoadReport, MonoTime)>,
-    n_sent_since: u32,
+    /// When recent calls were sent that the report does not count.
+    sent_since: SmallVec<[MonoTime; 8]>,
     work: Option<f64>,
     n_failed: u32,
     paused_until: MonoTime,
@@ -67,7 +72,7 @@
             slots: slots.max(1),
             n_open: 0,
             report: None,
-            n_sent_since: 0,
+            sent_since: SmallVec::new(),
             work: None,
             n_failed: 0,
             paused_until: MonoTime::default(),
@@ -75,9 +80,12 @@
     }
 
     /// Notes that a call is sent.
-    pub fn begin(&mut self) {
+    pub fn begin(&mut self, now: MonoTime) {
         self.n_open += 1;
-        self.n_sent_since += 1;
+        if self.sent_since.len() == MAX_SENT_TIMES {
+            self.sent_since.remove(0);
+        }
+        self.sent_since.push(now);
     }
 
     /// Notes how a call ended.
@@ -111,11 +119,14 @@
         self.work = Some(old + (work - old) * WORK_GAIN);
     }
 
-    /// Takes in the server's report.
-    pub fn note_report(&mut self, report: LoadReport, now: MonoTime) {
+    /// Takes in the server's report of the time `at`, unless a newer one is known.
+    pub fn note_report(&mut self, report: LoadReport, at: MonoTime) {
+        if self.report.is_some_and(|(_, known)| known >= at) {
+            return;
+        }
         self.slots = report.slots.max(1);
-        self.report = Some((report, now));
-        self.n_sent_since = 0;
+        self.report = Some((report, at));
+        self.sent_since.retain(|it| *it > at);
     }
 
     /// Calls under way.
@@ -141,13 +152,21 @@
             Some((report, at)) => {
                 let half_lives = now.since(at).as_secs_f64() / REPORT_HALF_LIFE.as_secs_f64();
                 let weight = 0.5f64.powf(half_lives);
-                let told = f64::from(report.n_running + report.n_waiting + self.n_sent_since);
+                let told =
+                    f64::from(report.n_running + report.n_waiting) + self.sent_since.len() as f64;
                 (told * weight + assumed * (1.0 - weight)).max(own)
             }
             None => assumed.max(own),
         }
     }
 
+    /// Estimated seconds that a request sent now would wait for a slot.
+    pub fn queue_seconds(&self, typical: f64, now: MonoTime) -> f64 {
+        let slots = f64::from(self.slots);
+        let queued = (self.n_present(now) + 1.0 - slots).max(0.0);
+        self.work.unwrap_or(typical) * queued / slots
+    }
+
     /// Estimated seconds to the answer of a request sent now; `typical` stands in while nothing has
     /// been answered.
     pub fn expected_seconds(&self, typical: f64, now: MonoTime) -> f64 {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,7 @@
 mod concurrency;
 mod gauge;
 mod quantile;
+mod return_time;
 mod server_view;
 mod warmup;
 
@@ -19,5 +20,6 @@
 pub use concurrency::{CallPace, ConcurrencyLimit};
 pub use gauge::{CallEnd, LoadReport, ServerGauge};
 pub use quantile::QuantileTracker;
+pub use return_time::return_time;
 pub use server_view::{CallResult, CallTicket, ServerProfile, ServerView};
 pub use warmup::{ColdProfile, RouterShare, WarmupState};
--- a/crates/policy/tests/it/gauge.rs
+++ b/crates/policy/tests/it/gauge.rs
@@ -40,8 +40,8 @@
 fn own_calls_since_the_report_count() {
     let mut gauge = gauge(report(3, 0, 100));
     let before = gauge.n_present(at(1));
-    gauge.begin();
-    gauge.begin();
+    gauge.begin(at(1));
+    gauge.begin(at(1));
     assert!(gauge.n_present(at(1)) > before + 1.5);
 }
 
--- /dev/null
+++ b/crates/policy/tests/it/return_time.rs
@@ -0,0 +1,30 @@
+//! When refused callers return, replayed against the load that refused them.
+
+use std::time::Duration;
+
+use model::NotRunReason;
+use policy::return_time;
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Servers shed half of their requests at random while their queues are empty (scale-1).
+#[test]
+fn callers_return_at_once_when_servers_shed_with_room_to_spare() {
+    assert!(return_time(NotRunReason::Shed, ms(0), ms(2_000)) <= ms(30));
+}
+
+#[test]
+fn callers_of_a_full_service_return_when_part_of_the_queue_has_drained() {
+    let after = return_time(NotRunReason::Overloaded, ms(600), ms(2_000));
+    assert!((ms(250)..=ms(400)).contains(&after), "{after:?}");
+}
+
+#[test]
+fn nobody_is_sent_away_beyond_a_third_of_the_time_left() {
+    let reasons = [NotRunReason::Shed, NotRunReason::NoOwner, NotRunReason::ColdServer];
+    for reason in reasons {
+        assert!(return_time(reason, ms(10_000), ms(300)) <= ms(100), "{reason}");
+    }
+}
