entry: keep keys through outages of the store, move them off reused addresses at once

A silent store held the assigner's rounds up for 0.7 s a call, and grants were made longer too late to reach all holders before the lease was no longer sure; a new assigner waited 10 s for holders whose address another service had taken, and sent them 4,000 grants in 4 s. Change: the lease is renewed beside the round, nothing is planned while it is overdue, grants become as long as may be 1.1 s after the last renewal and are all renewed then; an answer of another server at the address ends a life; failed grants are tried four times a second.

--- a/crates/entry/src/assigner.rs
+++ b/crates/entry/src/assigner.rs
@@ -64,8 +64,11 @@
 /// How long grants hold while the store answers.
 const USUAL_HOLD: Duration = Duration::from_millis(5_000);
 
-/// Age of the last news from the store beyond which grants are made as long as may be.
-const STALE_STORE: Duration = Duration::from_millis(1_800);
+/// Age of the last renewal of the lease beyond which grants are made as long as may be.
+const STALE_STORE: Duration = Duration::from_millis(1_100);
+
+/// Least time between attempts at grants that fail.
+const RETRY_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Time after which a predecessor surely sends no more orders.
 const PREDECESSOR_WAIT: Duration = Duration::from_millis(3_200);
@@ -123,6 +126,7 @@
 /// One order task at a time for each of these.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 enum TaskKey {
+    Lease,
     Renewal(ServiceName, ServerLife),
     Move(ServiceName, KeyRange, u64),
 }
@@ -137,6 +141,8 @@
     acked: BTreeSet<(ServiceName, KeyRange, u64)>,
     /// The records in force; an order that they do not call for is not sent.
     records: BTreeMap<ServiceName, Arc<ShardRecord>>,
+    /// Lives that have ended, as other servers answer at their addresses.
+    gone: BTreeSet<ServerLife>,
     /// Grants that may still be carried out.
     unanswered: BTreeMap<ServerLife, Vec<UnansweredGrant>>,
     /// Held while a grant to a life is on its way, so that no release overtakes it.
@@ -212,6 +218,8 @@
     renewed_at: BTreeMap<(ServiceName, ServerLife), MonoTime>,
     balanced_at: BTreeMap<ServiceName, MonoTime>,
     vacant_since: Option<MonoTime>,
+    /// Whether the store has not renewed the lease for so long that grants are made long.
+    is_stale: bool,
     notes: Option<UdpSocket>,
     /// Revision of each record as this process wrote or read it last.
     revisions: BTreeMap<ServiceName, u64>,
@@ -262,6 +270,7 @@
             renewed_at: BTreeMap::new(),
             balanced_at: BTreeMap::new(),
             vacant_since: None,
+            is_stale: false,
             notes: None,
             revisions: BTreeMap::new(),
             written_at: MonoTime::default(),
@@ -296,10 +305,7 @@
         let Some(lease) = self.lease() else {
             return self.campaign(&beliefs, now).await;
         };
-        if now.since(lease.kept_at) >= LEASE_INTERVAL && !self.keep(lease).await {
-            return;
-        }
-        let now = self.clock.now();
+        self.start_keeping(lease, now);
         let Some(lease) = self.lease().filter(|it| it.is_sure(now)) else {
             return;
         };
@@ -311,8 +317,16 @@
         while let Ok(news) = self.news.1.try_recv() {
             self.take_order_news(news).await;
         }
-        for service in beliefs.keyed_services() {
-            self.plan_service(&service, &beliefs, lease, now).await;
+        // While the store does not answer, nothing could be written.
+        let is_stale = now.since(lease.kept_at) > STALE_STORE;
+        if !is_stale {
+            for service in beliefs.keyed_services() {
+                self.plan_service(&service, &beliefs, lease, now).await;
+            }
+        }
+        if std::mem::replace(&mut self.is_stale, is_stale) != is_stale {
+            info!(self.log, "hold-length-changed"; "is_longest" => is_stale);
+            self.renewed_at.clear();
         }
         let beliefs = self.board.current();
         self.send_orders(&beliefs, lease, now);
@@ -413,26 +427,30 @@
         }
     }
 
-    /// Renews the lease; tells whether the round may go on.
-    async fn keep(&mut self, lease: HeldLease) -> bool {
-        let asked_at = self.clock.now();
-        match self.store.keep_lease(lease.lease, STORE_TIMEOUT).await {
-            Ok(()) => {
-                if let Some(held) = &mut self.book.borrow_mut().lease {
-                    held.kept_at = asked_at;
+    /// Renews the lease beside the round, when it is due and no renewal is under way.
+    fn start_keeping(&mut self, lease: HeldLease, now: MonoTime) {
+        if now.since(lease.kept_at) < LEASE_INTERVAL || self.tasks.contains_key(&TaskKey::Lease) {
+            return;
+        }
+        self.tasks.insert(TaskKey::Lease, now);
+        let (store, book, log) = (self.store.clone(), self.book.clone(), self.log.clone());
+        let sender = self.news.0.clone();
+        tokio::task::spawn_local(async move {
+            let res = store.keep_lease(lease.lease, STORE_TIMEOUT).await;
+            let mut book = book.borrow_mut();
+            let held = book.lease.as_mut().filter(|it| it.lease == lease.lease);
+            match (res, held) {
+                (Ok(()), Some(held)) => held.kept_at = now,
+                (Err(StoreFault::LeaseEnded), Some(_)) => {
+                    warn!(log, "assigner-lost"; "cause" => "lease-ended");
+                    book.lease = None;
                 }
-                true
-            }
-            Err(StoreFault::LeaseEnded) => {
-                self.step_down("lease-ended");
-                false
-            }
-            Err(fault) => {
                 // The lease is trusted for a while yet.
-                warn!(self.log, "lease-not-kept"; "cause" => %fault);
-                true
+                (Err(fault), Some(_)) => warn!(log, "lease-not-kept"; "cause" => %fault),
+                (_, None) => (),
             }
-        }
+            let _ = sender.send(OrderNews::Ended { task: TaskKey::Lease });
+        });
     }
 
     async fn resign(&mut self) {
@@ -529,8 +547,10 @@
         beliefs: &BeliefSnapshot,
         now: MonoTime,
     ) -> Option<ShardRecord> {
+        let book = self.book.clone();
         let is_dead = |life: &ServerLife| {
             beliefs.servers.get(&life.server).is_some_and(|it| it.entry.born != life.born)
+                || book.borrow().gone.contains(life)
         };
         let mut loads = self.loads.borrow_mut();
         let load = loads.keys.entry(service.clone()).or_default();
@@ -560,8 +580,9 @@
             .map(|it| {
                 let work = loads.work.get(&it.entry.name).copied().unwrap_or(typical);
                 let speed = if work > 0.0 { (typical / work).clamp(0.4, 2.0) } else { 1.0 };
+                let is_gone = self.book.borrow().gone.contains(&it.life());
                 let standing = match () {
-                    () if it.leaving_since.is_some() => ServerStanding::Leaving,
+                    () if is_gone || it.leaving_since.is_some() => ServerStanding::Leaving,
                     () if beliefs.is_evacuated(it) => ServerStanding::Leaving,
                     () if it.cold_until > now => ServerStanding::Cold,
                     () => ServerStanding::Serving,
@@ -640,10 +661,11 @@
 
     /// Starts the orders that are due and not under way.
     fn send_orders(&mut self, beliefs: &BeliefSnapshot, lease: HeldLease, now: MonoTime) {
-        let is_stale =
-            now.since(beliefs.fresh_at) > STALE_STORE || now.since(lease.kept_at) > STALE_STORE;
-        let hold =
-            if is_stale { self.settings.max_hold } else { self.settings.max_hold.min(USUAL_HOLD) };
+        let hold = if self.is_stale {
+            self.settings.max_hold
+        } else {
+            self.settings.max_hold.min(USUAL_HOLD)
+        };
         for (service, stored) in &beliefs.shards {
             self.book.borrow_mut().records.insert(service.clone(), stored.record.clone());
             self.revisions.insert(service.clone(), stored.revision);
@@ -686,8 +708,8 @@
             };
             !entries.iter().all(is_acked)
         };
-        let is_due =
-            self.renewed_at.get(&key).is_none_or(|it| now.since(*it) >= RENEW_INTERVAL) || is_new;
+        let interval = if is_new { RETRY_INTERVAL } else { RENEW_INTERVAL };
+        let is_due = self.renewed_at.get(&key).is_none_or(|it| now.since(*it) >= interval);
         if !is_due || self.tasks.contains_key(&task) {
             return;
         }
@@ -802,6 +824,7 @@
             OrderEnd::Silent(_) => {
                 book.note_unanswered(&holder.life, UnansweredGrant { range, token, until: end });
             }
+            OrderEnd::Gone => _ = book.gone.insert(holder.life.clone()),
             _ => (),
         }
         drop(book);
@@ -910,6 +933,9 @@
             {
                 token = fence;
             }
+            if self.book.borrow().gone.contains(life) {
+                return Some(None);
+            }
             let free_at = self.book.borrow().free_at.get(life).copied().unwrap_or_default();
             if self.clock.now() >= free_at {
                 info!(self.log, "hold-lapsed"; "server" => %life.server, "token" => token);
@@ -926,6 +952,7 @@
                     }
                     return Some(handover);
                 }
+                OrderEnd::Gone => _ = self.book.borrow_mut().gone.insert(life.clone()),
                 end if !is_logged => {
                     is_logged = true;
                     info!(self.log, "release-failed"; "server" => %life.server, "token" => token,
--- a/crates/entry/src/orders.rs
+++ b/crates/entry/src/orders.rs
@@ -21,6 +21,8 @@
     Done(Option<String>),
     /// The server has seen a larger token.
     Superseded,
+    /// Another server answers at the address: the life has ended.
+    Gone,
     /// The server answered something else.
     Rejected(StatusCode),
     /// No answer; the order may be carried out later.
@@ -96,7 +98,7 @@
         let request = self.request(life, self.format.release(range, token));
         let end = self.exchange(connection, request, patience).await;
         match end {
-            Ok((answer, _)) => self.order_end(&answer),
+            Ok((answer, _)) => self.order_end(life, &answer),
             Err(fault) => OrderEnd::Silent(fault.error().clone()),
         }
     }
@@ -114,7 +116,7 @@
                 if !closes {
                     self.lines.borrow_mut().insert(life.clone(), connection);
                 }
-                self.order_end(&answer)
+                self.order_end(life, &answer)
             }
             Err(ExchangeFault::Broken(err)) => OrderEnd::Silent(err),
             Err(fault) => OrderEnd::NotSent(fault.error().clone()),
@@ -136,10 +138,16 @@
         }
     }
 
-    fn order_end(&self, answer: &PeerAnswer) -> OrderEnd {
-        let handover = answer.headers.get(&self.format.headers().handover);
-        let handover = handover.and_then(|it| it.to_str().ok()).map(str::to_owned);
+    fn order_end(&self, life: &ServerLife, answer: &PeerAnswer) -> OrderEnd {
+        let names = self.format.headers();
+        let text = |name| answer.headers.get(name).and_then(|it| it.to_str().ok());
+        let handover = text(&names.handover).map(str::to_owned);
+        // One that takes the order for a caller's request without an id owns no keys.
+        let is_other = text(&names.server).is_some_and(|it| it != life.server.as_str())
+            || (answer.status == StatusCode::BAD_REQUEST
+                && answer.headers.contains_key(&names.not_run));
         match answer.status {
+            _ if is_other => OrderEnd::Gone,
             StatusCode::OK => OrderEnd::Done(handover),
             StatusCode::CONFLICT => OrderEnd::Superseded,
             status => OrderEnd::Rejected(status),
