--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -33,10 +33,10 @@
     FeedEvent, FeedNews, HeaderNames, LeaseId, RecordChange, ServerEntry, ServerFormat, StateStore,
     StoreFault,
 };
-pub use run::run_entry;
+pub use run::{run_entry, run_entry_until};
 pub use settings_file::{EntrySettings, RawEntrySettings, RetryBounds};
 pub use sightings::{OutgoingSights, ServerSighting, SightBoard, SightsNote};
 pub use snapshot::{
     AssignerRecord, BeliefSnapshot, SeenServer, StoredAssigner, StoredShards, VmPresence,
 };
-pub use traffic::{CallerAnswer, CallerRequest, TrafficServer};
+pub use traffic::{CallerAnswer, CallerRequest, TrafficParts, TrafficServer};
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     AssignerParts, BeliefBoard, EntryMetrics, EntrySettings, KeyAssigner, ServerFormat, SightBoard,
-    SightsNote, StateStore, TrafficServer, VmPresence,
+    SightsNote, StateStore, TrafficParts, TrafficServer, VmPresence,
     assigner::{LoadBook, SharedLoads},
     beliefs::NewsFollower,
     edge::{EdgePhase, serve_callers, serve_texts},
@@ -45,7 +45,7 @@
 /// Time between looks at requests that are left while the process ends.
 const END_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Runs the entry process until it is told to stop.
+/// Runs the entry process until it is told to stop by a signal.
 ///
 /// # Errors
 /// When an address can't be bound or a runtime can't be built; each names its step.
@@ -54,6 +54,20 @@
     store: S,
     format: F,
     log: Logger,
+) -> eyre::Result<()> {
+    run_entry_until(settings, store, format, settings::stop_signal(), log)
+}
+
+/// Runs an entry until `stop` is done.
+///
+/// # Errors
+/// As [`run_entry`].
+pub fn run_entry_until<S: StateStore, F: ServerFormat>(
+    settings: EntrySettings,
+    store: S,
+    format: F,
+    stop_asked: impl Future<Output = eyre::Result<()>>,
+    log: Logger,
 ) -> eyre::Result<()> {
     let clock = ProcessClock::default();
     let incarnation = clock.incarnation();
@@ -82,23 +96,22 @@
         })?
     };
     let metrics = EntryMetrics::default();
-    let traffic_sightings = sightings;
-    let traffic = Rc::new(TrafficServer::new(
+    let traffic = Rc::new(TrafficServer::new(TrafficParts {
         format,
-        settings.clone(),
-        board.clone(),
+        settings: settings.clone(),
+        board: board.clone(),
         clock,
-        metrics.clone(),
-        traffic_sightings,
-        incarnation,
-        log.clone(),
-    ));
+        metrics: metrics.clone(),
+        sightings,
+        seed: incarnation,
+        log: log.clone(),
+    }));
     let runtime = runtime()?;
     let local = LocalSet::new();
-    local.block_on(
-        &runtime,
-        run_traffic(settings, traffic, board, metrics, clock, stop_sender, log.clone()),
-    )?;
+    local.block_on(&runtime, async {
+        let traffic_end = TrafficEnd { clock, stop_sender, stop_asked };
+        run_traffic(settings, traffic, board, metrics, traffic_end, log.clone()).await
+    })?;
     if control.join().is_err() {
         warn!(log, "control-thread-failed");
     }
@@ -326,15 +339,24 @@
 /// Weight of one router's report in a server's average.
 const WORK_GAIN: f64 = 0.1;
 
+/// How traffic comes to its end.
+struct TrafficEnd<E> {
+    clock: ProcessClock,
+    /// Tells the control thread.
+    stop_sender: watch::Sender<bool>,
+    /// Done when the process is to stop.
+    stop_asked: E,
+}
+
 async fn run_traffic<F: ServerFormat>(
     settings: EntrySettings,
     traffic: Rc<TrafficServer<F>>,
     board: BeliefBoard,
     metrics: EntryMetrics,
-    clock: ProcessClock,
-    stop: watch::Sender<bool>,
+    traffic_end: TrafficEnd<impl Future<Output = eyre::Result<()>>>,
     log: Logger,
 ) -> eyre::Result<()> {
+    let TrafficEnd { clock, stop_sender, stop_asked } = traffic_end;
     let (phase_sender, phase) = watch::channel(EdgePhase::Open);
     let open = Rc::new(RefCell::new(0));
     let listener = settings::listen(settings.callers, "listen-callers").await?;
@@ -361,10 +383,10 @@
     let listener = settings::listen(settings.metrics, "listen-metrics").await?;
     tokio::task::spawn_local(serve_texts(listener, Rc::new(text), log.clone()));
     tokio::task::spawn_local(send_reports(traffic.clone(), board, settings.clone()));
-    settings::stop_signal().await?;
+    stop_asked.await?;
     info!(log, "stopping"; "open_requests" => traffic.n_open(), "connections" => *open.borrow());
     phase_sender.send_replace(EdgePhase::Leaving);
-    stop.send_replace(true);
+    stop_sender.send_replace(true);
     let asked_at = clock.now();
     let latest = asked_at + settings.grace.saturating_sub(GRACE_MARGIN);
     sleep(BALANCER_TIME.min(settings.grace / 2)).await;
--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -120,6 +120,26 @@
     n_open: usize,
 }
 
+/// What a [`TrafficServer`] is built from.
+pub struct TrafficParts<F> {
+    /// Names of headers.
+    pub format: F,
+    /// Settings of the process.
+    pub settings: EntrySettings,
+    /// Beliefs as published.
+    pub board: BeliefBoard,
+    /// The clock.
+    pub clock: ProcessClock,
+    /// Counters.
+    pub metrics: EntryMetrics,
+    /// What servers report.
+    pub sightings: SightBoard,
+    /// Starts the random choices.
+    pub seed: u64,
+    /// The log.
+    pub log: Logger,
+}
+
 /// Serves callers on one thread.
 pub struct TrafficServer<F> {
     format: F,
@@ -133,26 +153,26 @@
 }
 
 impl<F: ServerFormat> TrafficServer<F> {
-    /// A server that has seen nothing yet; `seed` starts its random choices.
-    pub fn new(
-        format: F,
-        settings: EntrySettings,
-        board: BeliefBoard,
-        clock: ProcessClock,
-        metrics: EntryMetrics,
-        sightings: SightBoard,
-        seed: u64,
-        log: Logger,
-    ) -> Self {
+    /// A server that has seen nothing yet.
+    pub fn new(parts: TrafficParts<F>) -> Self {
         let state = TrafficState {
             pool: ConnectionPool::default(),
             sights: HashMap::new(),
             services: HashMap::new(),
             counts: HashMap::new(),
-            rng: SmallRng::seed_from_u64(seed),
+            rng: SmallRng::seed_from_u64(parts.seed),
             n_open: 0,
         };
-        Self { format, settings, board, clock, metrics, sightings, state: RefCell::new(state), log }
+        Self {
+            format: parts.format,
+            settings: parts.settings,
+            board: parts.board,
+            clock: parts.clock,
+            metrics: parts.metrics,
+            sightings: parts.sightings,
+            state: RefCell::new(state),
+            log: parts.log,
+        }
     }
 
     /// The clock by which requests are timed.
