entry: read settings again, send once more what an ended connection never took

Cause: SIGHUP ended the process, a file changed without a signal was not seen; a request on an idle connection that its server had closed failed as if it might have run, payments too. Change: settings are read at SIGHUP and every two seconds, adopted or refused with a line; a request that was not written goes out on a new connection; old grants are forgotten. Test: a request on an ended connection counts as not sent.

--- a/crates/entry/src/assigner.rs
+++ b/crates/entry/src/assigner.rs
@@ -85,6 +85,9 @@
 /// Most steps that a VM waits.
 const MAX_STAGGERS: u32 = 12;
 
+/// Acknowledged grants beyond which old ones are forgotten.
+const MAX_KEPT_GRANTS: usize = 2_048;
+
 /// Load that routers report.
 pub type SharedLoads = Rc<RefCell<LoadBook>>;
 
@@ -195,6 +198,20 @@
         })
     }
 
+    /// Forgets what concerns grants that no record calls for any more.
+    fn forget_old(&mut self, now: MonoTime) {
+        if self.acked.len() < MAX_KEPT_GRANTS {
+            return;
+        }
+        let records = &self.records;
+        self.acked.retain(|(service, _, token)| {
+            let mut entries = records.get(service).into_iter().flat_map(|it| &it.entries);
+            entries.any(|it| it.holder.token == *token)
+        });
+        self.unanswered.retain(|_, grants| grants.iter().any(|it| it.until > now));
+        self.grant_locks.retain(|_, lock| Rc::strong_count(lock) > 1);
+    }
+
     fn grant_lock(&mut self, life: &ServerLife) -> Rc<Mutex<()>> {
         self.grant_locks.entry(life.clone()).or_default().clone()
     }
@@ -666,6 +683,7 @@
         } else {
             self.settings.max_hold.min(USUAL_HOLD)
         };
+        self.book.borrow_mut().forget_old(now);
         for (service, stored) in &beliefs.shards {
             self.book.borrow_mut().records.insert(service.clone(), stored.record.clone());
             self.revisions.insert(service.clone(), stored.revision);
--- a/crates/entry/src/connections.rs
+++ b/crates/entry/src/connections.rs
@@ -39,7 +39,7 @@
 pub enum ExchangeFault {
     /// Nothing listens at the address.
     Refused(StepError),
-    /// No connection could be made; nothing was sent.
+    /// There was no connection, or it had ended before; nothing was sent.
     NotConnected(StepError),
     /// The connection failed after the request was sent.
     Broken(StepError),
@@ -118,7 +118,15 @@
         let peer = self.peer;
         let broken =
             |step| move |err: hyper::Error| ExchangeFault::Broken(StepError::new(step, peer, err));
-        let response = self.sender.send_request(request).await.map_err(broken("exchange"))?;
+        let response = match self.sender.try_send_request(request).await {
+            Ok(it) => it,
+            // A request that comes back was not written: the connection had ended before.
+            Err(err) if err.message().is_some() => {
+                let err = StepError::new("send", peer, err.into_error());
+                return Err(ExchangeFault::NotConnected(err));
+            }
+            Err(err) => return Err(broken("exchange")(err.into_error())),
+        };
         let (head, body) = response.into_parts();
         let body = body.collect().await.map_err(broken("read-answer"))?.to_bytes();
         self.usable_until = Some(now() + keep_time(&head.headers));
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -33,7 +33,7 @@
     FeedEvent, FeedNews, HeaderNames, LeaseId, RecordChange, ServerEntry, ServerFormat, StateStore,
     StoreFault,
 };
-pub use run::{run_entry, run_entry_until};
+pub use run::{SettingsSource, run_entry, run_entry_until};
 pub use settings_file::{EntrySettings, RawEntrySettings, RetryBounds};
 pub use sightings::{OutgoingSights, ServerSighting, SightBoard, SightsNote};
 pub use snapshot::{
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -7,11 +7,12 @@
 use model::{DomainName, MonoTime};
 use ownership::KeyLoad;
 use peer::{ByteCount, serve_peers};
-use settings::ProcessClock;
+use settings::{ProcessClock, SettingError};
 use slog::{Logger, info, warn};
 use tokio::{
     net::UdpSocket,
     runtime::{Builder, Runtime},
+    signal::unix::{SignalKind, signal},
     sync::watch,
     task::LocalSet,
     time::sleep,
@@ -45,6 +46,9 @@
 /// Time between looks at requests that are left while the process ends.
 const END_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Reads the settings anew; the error says what is not allowed.
+pub type SettingsSource = Box<dyn Fn() -> Result<EntrySettings, SettingError>>;
+
 /// Runs the entry process until it is told to stop by a signal.
 ///
 /// # Errors
@@ -53,9 +57,10 @@
     settings: EntrySettings,
     store: S,
     format: F,
+    source: SettingsSource,
     log: Logger,
 ) -> eyre::Result<()> {
-    run_entry_until(settings, store, format, settings::stop_signal(), log)
+    run_entry_until(settings, store, format, settings::stop_signal(), source, log)
 }
 
 /// Runs an entry until `stop` is done.
@@ -67,6 +72,7 @@
     store: S,
     format: F,
     stop_asked: impl Future<Output = eyre::Result<()>>,
+    source: SettingsSource,
     log: Logger,
 ) -> eyre::Result<()> {
     let clock = ProcessClock::default();
@@ -109,6 +115,8 @@
     let runtime = runtime()?;
     let local = LocalSet::new();
     local.block_on(&runtime, async {
+        let reread = reread_settings(settings.clone(), source, traffic.clone(), log.clone());
+        tokio::task::spawn_local(reread);
         let traffic_end = TrafficEnd { clock, stop_sender, stop_asked };
         run_traffic(settings, traffic, board, metrics, traffic_end, log.clone()).await
     })?;
@@ -339,6 +347,41 @@
 /// Weight of one router's report in a server's average.
 const WORK_GAIN: f64 = 0.1;
 
+/// Takes changed settings over: at SIGHUP, and without it when the file is found changed.
+async fn reread_settings<F: ServerFormat>(
+    mut settings: EntrySettings,
+    source: SettingsSource,
+    traffic: Rc<TrafficServer<F>>,
+    log: Logger,
+) {
+    let mut hangup = match signal(SignalKind::hangup()) {
+        Ok(it) => it,
+        Err(err) => {
+            warn!(log, "signal-not-heard"; "signal" => "SIGHUP", "cause" => %err);
+            return;
+        }
+    };
+    loop {
+        let is_asked = tokio::select! {
+            _ = hangup.recv() => true,
+            () = sleep(SETTINGS_INTERVAL) => false,
+        };
+        match source() {
+            Ok(read) if read != settings => {
+                info!(log, "settings-adopted"; "by_signal" => is_asked);
+                traffic.adopt_settings(read.clone());
+                settings = read;
+            }
+            Ok(_) if is_asked => info!(log, "settings-unchanged"),
+            Ok(_) => (),
+            Err(err) => warn!(log, "settings-refused"; "cause" => %err),
+        }
+    }
+}
+
+/// Time between looks at the settings file.
+const SETTINGS_INTERVAL: Duration = Duration::from_millis(2_000);
+
 /// How traffic comes to its end.
 struct TrafficEnd<E> {
     clock: ProcessClock,
--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -2,6 +2,7 @@
 
 use std::{cell::RefCell, collections::HashMap, rc::Rc, sync::Arc, time::Duration};
 
+use arc_swap::ArcSwap;
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header};
 use http_body_util::Full;
@@ -143,7 +144,7 @@
 /// Serves callers on one thread.
 pub struct TrafficServer<F> {
     format: F,
-    settings: EntrySettings,
+    settings: ArcSwap<EntrySettings>,
     board: BeliefBoard,
     clock: ProcessClock,
     metrics: EntryMetrics,
@@ -165,7 +166,7 @@
         };
         Self {
             format: parts.format,
-            settings: parts.settings,
+            settings: ArcSwap::from_pointee(parts.settings),
             board: parts.board,
             clock: parts.clock,
             metrics: parts.metrics,
@@ -185,6 +186,11 @@
         self.board.current().plan.as_ref().map(|it| it.limits).unwrap_or_default()
     }
 
+    /// Takes changed settings over; addresses stay as they were at the start.
+    pub fn adopt_settings(&self, settings: EntrySettings) {
+        self.settings.store(Arc::new(settings));
+    }
+
     /// Requests under way.
     pub fn n_open(&self) -> usize {
         self.state.borrow().n_open
@@ -240,7 +246,7 @@
 
     fn note_first(&self, request: &RequestState) {
         let n_vms = self.board.current().vms.len().max(1) as f64;
-        let retries = self.settings.retries;
+        let retries = self.settings.load().retries;
         let mut state = self.state.borrow_mut();
         let sight = state.services.entry(request.service.clone()).or_insert_with(|| {
             let cap = (retries.slack * SLACK_SHARE / n_vms).max(1.0);
@@ -342,7 +348,7 @@
         let Some(server) = server.filter(|_| entry.is_settled()) else {
             return SendChoice::AwaitNews(NotRunReason::NoOwner);
         };
-        let drain = self.settings.drain.mul_f64(0.75);
+        let drain = self.settings.load().drain.mul_f64(0.75);
         if server.leaving_since.is_some_and(|it| now.since(it) >= drain) {
             return SendChoice::AwaitNews(NotRunReason::NoOwner);
         }
@@ -353,7 +359,7 @@
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
         let sight = sight(&mut state.sights, server);
-        if !sight.may_send(server, &self.settings.vm, beliefs, now) {
+        if !sight.may_send(server, &self.settings.load().vm, beliefs, now) {
             return SendChoice::Refuse(NotRunReason::ColdServer);
         }
         let typical = state.services.get(&request.service).map_or(0.1, ServiceSight::typical);
@@ -389,7 +395,7 @@
                 continue;
             }
             let sight = sight(&mut state.sights, server);
-            if !sight.may_send(server, &self.settings.vm, beliefs, now) {
+            if !sight.may_send(server, &self.settings.load().vm, beliefs, now) {
                 reason = NotRunReason::ColdServer;
                 continue;
             }
@@ -401,8 +407,11 @@
                 sight.gauge.note_report(report, at);
             }
             let expected = sight.gauge.expected_seconds(typical, now);
-            let crossing =
-                if server.entry.domain == self.settings.domain { 0.0 } else { CROSSING_WEIGHT };
+            let crossing = if server.entry.domain == self.settings.load().domain {
+                0.0
+            } else {
+                CROSSING_WEIGHT
+            };
             let pause = if sight.gauge.is_paused(now) { PAUSE_WEIGHT } else { 0.0 };
             let jitter = 1.0 + JITTER * state.rng.random::<f64>();
             let cost = expected / objective * jitter + crossing + pause;
@@ -455,7 +464,23 @@
         let outgoing = self.outgoing(request, original, server, left);
         let clock = self.clock;
         let exchange = connection.exchange(outgoing, move || clock.now());
-        let res = timeout(left + LATE_ANSWER, exchange).await;
+        let mut res = timeout(left + LATE_ANSWER, exchange).await;
+        if let Ok(Err(ExchangeFault::NotConnected(_))) = res {
+            // An idle connection had ended; a new one tells whether the server is there.
+            self.state.borrow_mut().pool.close(address);
+            connection = match PeerConnection::open(address).await {
+                Ok(it) => it,
+                Err(fault) => {
+                    open.end = Some(CallEnd::Failed);
+                    self.log_send(request, name, "not-connected", Some(&fault));
+                    return SendEnd::NotRun(NotRunReason::ConnectFailed);
+                }
+            };
+            let left = request.left(self.clock.now());
+            let outgoing = self.outgoing(request, original, server, left);
+            let exchange = connection.exchange(outgoing, move || clock.now());
+            res = timeout(left + LATE_ANSWER, exchange).await;
+        }
         let ended = self.clock.now();
         let age = ended.since(now);
         let answer = match res {
@@ -677,7 +702,7 @@
                 work.extend(seconds.map(|it| (name.clone(), (it * 1_000.0) as u32)));
             }
         }
-        LoadNote { vm: Some(self.settings.vm.clone()), keys, work }
+        LoadNote { vm: Some(self.settings.load().vm.clone()), keys, work }
     }
 
     /// Forgets servers that are gone and closes connections that can't be used.
--- a/crates/entry/tests/it/connections.rs
+++ b/crates/entry/tests/it/connections.rs
@@ -3,7 +3,7 @@
 use std::{io::ErrorKind, time::Duration};
 
 use bytes::Bytes;
-use entry::PeerConnection;
+use entry::{ExchangeFault, PeerConnection};
 use http::Request;
 use model::MonoTime;
 use tokio::{io::AsyncReadExt, net::TcpListener, task::LocalSet, time::timeout};
@@ -28,3 +28,21 @@
         })
         .await;
 }
+
+/// Servers close idle connections at their own time; a payment sent on one had failed for nothing.
+#[tokio::test(flavor = "current_thread")]
+async fn a_request_on_a_connection_that_had_ended_counts_as_not_sent() {
+    LocalSet::new()
+        .run_until(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+            let address = listener.local_addr().expect("address");
+            let mut connection = PeerConnection::open(address).await.expect("open");
+            let (peer, _) = listener.accept().await.expect("accepted");
+            drop(peer);
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            let request = Request::new(Bytes::from_static(b"order").into());
+            let end = connection.exchange(request, MonoTime::default).await;
+            assert!(matches!(end, Err(ExchangeFault::NotConnected(_))), "{end:?}");
+        })
+        .await;
+}
--- a/crates/settings/src/daemon.rs
+++ b/crates/settings/src/daemon.rs
@@ -1,6 +1,6 @@
 //! The frame of a daemon's life: arguments, settings, listeners and the signal to stop.
 
-use std::{ffi::OsString, net::SocketAddr, process::ExitCode};
+use std::{ffi::OsString, net::SocketAddr, path::PathBuf, process::ExitCode};
 
 use clap::Command;
 use eyre::WrapErr;
@@ -21,6 +21,19 @@
     arguments: impl IntoIterator<Item = OsString>,
     run: impl FnOnce(T) -> eyre::Result<()>,
 ) -> ExitCode
+where
+    R: DeserializeOwned,
+    T: TryFrom<R, Error = SettingError>,
+{
+    run_rereading_daemon(command, arguments, |settings, _| run(settings))
+}
+
+/// As [`run_daemon`], for a daemon that also reads its settings file again while it runs.
+pub fn run_rereading_daemon<R, T>(
+    command: Command,
+    arguments: impl IntoIterator<Item = OsString>,
+    run: impl FnOnce(T, PathBuf) -> eyre::Result<()>,
+) -> ExitCode
 where
     R: DeserializeOwned,
     T: TryFrom<R, Error = SettingError>,
@@ -39,7 +52,7 @@
         println!("event=settings-allowed file={:?}", file.display());
         return ExitCode::SUCCESS;
     }
-    match run(settings) {
+    match run(settings, file.clone()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => {
             eprintln!("event=daemon-failed cause={:?}", format!("{err:#}"));
