entry: tell no VM of servers that may be gone, believe no relay that knows less

Change: servers missing around an outage are left out of what is told; a whole telling is refused if its store revision is older than the own.

--- a/crates/entry/src/beliefs.rs
+++ b/crates/entry/src/beliefs.rs
@@ -139,7 +139,8 @@
             let res = match &source {
                 NewsSource::Store => self.ask_store(&mut mark).await,
                 NewsSource::Relay(_, address) => {
-                    ask_relay(&peers.client(*address, "news"), &mut mark).await
+                    let known = self.state.borrow().snapshot().revision;
+                    ask_relay(&peers.client(*address, "news"), &mut mark, known).await
                 }
             };
             let now = self.clock.now();
@@ -207,7 +208,12 @@
     }
 }
 
-async fn ask_relay(client: &PeerClient, mark: &mut ReadMark) -> Result<SourceNews, StoreFault> {
+/// Asks a relay; one that knows less than revision `known` is not believed as a whole.
+async fn ask_relay(
+    client: &PeerClient,
+    mark: &mut ReadMark,
+    known: u64,
+) -> Result<SourceNews, StoreFault> {
     let (run, after) = mark.relayed;
     let reply = client.call(&NewsAsk { run, after }, NEWS_WAIT + RELAY_TIMEOUT).await;
     let refused = |cause: &str| StoreFault::Refused(StepError::new("ask-relay", "relay", cause));
@@ -216,10 +222,17 @@
         NewsReply::News { age_ms, .. } if Duration::from_millis(age_ms) > STALE_RELAY => {
             Err(refused("heard nothing of the store"))
         }
-        NewsReply::News { run, last, is_complete, events, age_ms } => {
+        NewsReply::News { is_complete: true, revision, .. } if revision < known => {
+            Err(refused("knows less than this VM"))
+        }
+        NewsReply::News { run, last, is_complete, events, age_ms, revision } => {
             mark.relayed = (run, last);
             let age = Duration::from_millis(age_ms);
-            Ok(SourceNews { news: FeedNews { events, ..FeedNews::default() }, is_complete, age })
+            Ok(SourceNews {
+                news: FeedNews { revision, events, ..FeedNews::default() },
+                is_complete,
+                age,
+            })
         }
     }
 }
--- a/crates/entry/src/feed.rs
+++ b/crates/entry/src/feed.rs
@@ -99,6 +99,7 @@
     /// Takes in changes that were current at `now`; tells whether they follow what is believed.
     pub fn apply_news(&mut self, news: FeedNews, now: MonoTime) -> bool {
         self.snapshot.fresh_at = now;
+        self.snapshot.revision = self.snapshot.revision.max(news.revision);
         let mut follows = true;
         for event in news.events {
             match event {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -28,6 +28,7 @@
 pub use feed::BeliefState;
 pub use gossip::{LoadNote, OpenedNote, PeerNote, ShardNote};
 pub use metrics::EntryMetrics;
+pub use news::{NewsSource, SourceChoice};
 pub use plan::{CallerLimits, PlanRoute, RoutePlan, RouteTarget, ServiceRules};
 pub use ports::{
     FeedEvent, FeedNews, HeaderNames, LeaseId, RecordChange, ServerEntry, ServerFormat, StateStore,
--- a/crates/entry/src/news.rs
+++ b/crates/entry/src/news.rs
@@ -55,6 +55,8 @@
         events: Vec<FeedEvent>,
         /// Milliseconds since the store last answered.
         age_ms: u64,
+        /// Newest store revision that the relay knows.
+        revision: u64,
     },
     /// This VM does not follow the store itself.
     NotFollowing,
@@ -77,6 +79,7 @@
 struct KeptNews {
     is_following: bool,
     fresh_at: MonoTime,
+    revision: u64,
     last: u64,
     changes: VecDeque<FeedEvent>,
     beliefs: Arc<BeliefSnapshot>,
@@ -96,6 +99,7 @@
     pub fn add(&self, changes: Vec<FeedEvent>, beliefs: &BeliefSnapshot) {
         let mut kept = self.lock();
         kept.fresh_at = beliefs.fresh_at;
+        kept.revision = beliefs.revision;
         if changes.is_empty() {
             return;
         }
@@ -133,7 +137,8 @@
             }
         };
         let age_ms = now.since(kept.fresh_at).as_millis() as u64;
-        NewsReply::News { run: self.run, last: kept.last, is_complete, events, age_ms }
+        let revision = kept.revision;
+        NewsReply::News { run: self.run, last: kept.last, is_complete, events, age_ms, revision }
     }
 }
 
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -39,6 +39,8 @@
     pub vms: Arc<BTreeMap<VmName, VmPresence>>,
     /// When the store last answered.
     pub fresh_at: MonoTime,
+    /// Newest store revision that is known.
+    pub revision: u64,
 }
 
 /// A server with what this process has seen of it.
@@ -161,7 +163,8 @@
     pub fn to_events(&self, now: MonoTime) -> Vec<FeedEvent> {
         let mut events: Vec<FeedEvent> = Vec::new();
         events.extend(self.plan.as_ref().map(|it| FeedEvent::Plan((**it).clone())));
-        for (name, server) in &*self.servers {
+        // Those that may be gone are left out: another VM may know better.
+        for (name, server) in self.servers.iter().filter(|(_, it)| !it.is_missing) {
             let mut entry = (*server.entry).clone();
             entry.cold_left = server.cold_until.since(now);
             events.push(FeedEvent::Server(name.clone(), Some(entry)));
--- a/crates/entry/tests/it/beliefs.rs
+++ b/crates/entry/tests/it/beliefs.rs
@@ -153,3 +153,17 @@
     assert!(seen.may_own(drain, at(1_500)));
     assert!(!seen.may_own(drain, at(1_950)), "two seconds may be over at the server");
 }
+
+/// A relay that had been cut off told its followers of servers that they knew to be gone, and was
+/// believed (scale-2 --seed 130372198713 of ezelhoek).
+#[test]
+fn servers_that_may_be_gone_are_not_told_to_other_vms() {
+    let mut state = state();
+    state.apply_all(news(1, &["one", "two"]), at(0));
+    state.note_fault(at(5_000));
+    state.apply_all(news(9, &["two"]), at(5_100));
+    let told = state.snapshot().to_events(at(5_200));
+    let servers = told.iter().filter(|it| matches!(it, FeedEvent::Server(..)));
+    assert_eq!(servers.count(), 1);
+    assert_eq!(state.snapshot().revision, 9);
+}
--- a/crates/entry/tests/it/main.rs
+++ b/crates/entry/tests/it/main.rs
@@ -2,3 +2,4 @@
 
 mod beliefs;
 mod connections;
+mod relays;
--- /dev/null
+++ b/crates/entry/tests/it/relays.rs
@@ -0,0 +1,70 @@
+//! Who follows the store, and who is believed.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use entry::{BeliefSnapshot, NewsSource, SourceChoice, VmPresence};
+use model::{DomainName, MonoTime, VmName};
+
+fn vm(name: &str) -> VmName {
+    VmName::try_from(name).expect("a name")
+}
+
+fn domain(name: &str) -> DomainName {
+    DomainName::try_from(name).expect("a name")
+}
+
+/// Two domains of two VMs; the second of each is the stronger.
+fn beliefs() -> BeliefSnapshot {
+    let mut vms = BTreeMap::new();
+    for (name, of, strength) in
+        [("a-1", "a", 100), ("a-2", "a", 500), ("b-1", "b", 100), ("b-2", "b", 500)]
+    {
+        let address = format!("127.0.0.1:{}", 1_000 + vms.len()).parse().expect("an address");
+        let presence = VmPresence {
+            domain: domain(of),
+            strength,
+            reports: address,
+            news: address,
+            incarnation: 1,
+        };
+        vms.insert(vm(name), presence);
+    }
+    BeliefSnapshot { vms: Arc::new(vms), ..BeliefSnapshot::default() }
+}
+
+fn relay_of(choice: &SourceChoice, now: MonoTime) -> Option<VmName> {
+    match choice.source(&beliefs(), now) {
+        NewsSource::Store => None,
+        NewsSource::Relay(vm, _) => Some(vm),
+    }
+}
+
+fn at(millis: u64) -> MonoTime {
+    MonoTime::from_millis(millis)
+}
+
+#[test]
+fn the_strongest_vm_of_a_domain_follows_the_store_and_the_others_follow_it() {
+    assert_eq!(relay_of(&SourceChoice::new(vm("a-2"), domain("a")), at(0)), None);
+    assert_eq!(relay_of(&SourceChoice::new(vm("a-1"), domain("a")), at(0)), Some(vm("a-2")));
+}
+
+#[test]
+fn a_follower_asks_the_store_while_its_relay_fails_and_another_domain_while_both_do() {
+    let mut choice = SourceChoice::new(vm("a-1"), domain("a"));
+    let relay = choice.source(&beliefs(), at(0));
+    choice.note_fault(&relay, at(0));
+    assert_eq!(relay_of(&choice, at(10)), None);
+    choice.note_fault(&NewsSource::Store, at(10));
+    assert_eq!(relay_of(&choice, at(20)), Some(vm("b-2")));
+    let later = at(20) + Duration::from_secs(4);
+    assert_eq!(relay_of(&choice, later), Some(vm("a-2")), "it is tried again");
+}
+
+#[test]
+fn a_vm_that_the_store_turns_away_asks_another_domain() {
+    let mut choice = SourceChoice::new(vm("a-2"), domain("a"));
+    choice.note_fault(&NewsSource::Store, at(0));
+    assert_eq!(relay_of(&choice, at(10)), Some(vm("b-2")));
+    assert_eq!(relay_of(&choice, at(1_100)), None, "the store is asked again");
+}
