--- a/crates/entry/src/connections.rs
+++ b/crates/entry/src/connections.rs
@@ -173,11 +173,6 @@
         }
     }
 
-    /// Idle connections to `peer`.
-    pub fn n_idle(&self, peer: SocketAddr) -> usize {
-        self.idle.get(&peer).map_or(0, Vec::len)
-    }
-
     /// Closes connections that can no longer be used.
     pub fn sweep(&mut self, now: MonoTime) {
         for idle in self.idle.values_mut() {
--- a/crates/entry/src/ports.rs
+++ b/crates/entry/src/ports.rs
@@ -130,13 +130,6 @@
         timeout: Duration,
     ) -> impl Future<Output = Result<FeedNews, StoreFault>> + Send;
 
-    /// One record of our own, with its revision; revision 0 when there is none.
-    fn read_record(
-        &self,
-        name: &str,
-        timeout: Duration,
-    ) -> impl Future<Output = Result<(u64, Option<Bytes>), StoreFault>> + Send;
-
     /// Changes records; returns the revision of the change.
     fn change(
         &self,
