--- a/crates/entry/src/assigner.rs
+++ b/crates/entry/src/assigner.rs
@@ -300,7 +300,7 @@
         }
         self.tasks.insert(task.clone(), now);
         self.renewed_at.insert(key, now);
-        let run = OrderRun { service: service.clone(), ..self.order_run(hold) };
+        let run = self.order_run(service, hold);
         let sender = self.news.0.clone();
         tokio::task::spawn_local(async move {
             run.renew(&life, entries).await;
@@ -329,7 +329,7 @@
             book.free_at.entry(holder.life.clone()).or_insert(unknown);
         }
         self.tasks.insert(task.clone(), now);
-        let run = OrderRun { service: service.clone(), ..self.order_run(hold) };
+        let run = self.order_run(service, hold);
         let entry = entry.clone();
         let dead: Vec<ServerLife> = entry
             .leaving
@@ -346,13 +346,13 @@
         });
     }
 
-    fn order_run(&self, hold: Duration) -> OrderRun<F> {
+    fn order_run(&self, service: &ServiceName, hold: Duration) -> OrderRun<F> {
         OrderRun {
             orders: self.orders.clone(),
             book: self.book.clone(),
             clock: self.clock,
             sender: self.news.0.clone(),
-            service: ServiceName::try_from("none").expect("a valid name"),
+            service: service.clone(),
             hold,
             log: self.log.clone(),
         }
