--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -9,8 +9,10 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header};
 use http_body_util::Full;
-use model::{Idempotency, MonoTime, NotRunReason, ServerName, ServiceName, UnknownReason};
-use policy::{CallEnd, RetryBudget, choose_cheapest, return_time};
+use model::{
+    DomainName, Idempotency, MonoTime, NotRunReason, ServerName, ServiceName, UnknownReason,
+};
+use policy::{CallEnd, DomainWatch, RetryBudget, choose_cheapest, return_time};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use settings::ProcessClock;
 use slog::{Logger, info};
@@ -91,6 +93,7 @@
     pool: ConnectionPool,
     sights: HashMap<ServerName, ServerSight>,
     services: HashMap<ServiceName, ServiceSight>,
+    domains: HashMap<DomainName, DomainWatch>,
     counts: HashMap<ServiceName, HashMap<u16, u32>>,
     rng: SmallRng,
     n_open: usize,
@@ -135,6 +138,7 @@
             pool: ConnectionPool::default(),
             sights: HashMap::new(),
             services: HashMap::new(),
+            domains: HashMap::new(),
             counts: HashMap::new(),
             rng: SmallRng::seed_from_u64(parts.seed),
             n_open: 0,
--- a/crates/entry/src/traffic/choice.rs
+++ b/crates/entry/src/traffic/choice.rs
@@ -67,8 +67,13 @@
             return SendChoice::Refuse(NotRunReason::ColdServer);
         }
         let typical = state.services.get(&request.service).map_or(0.1, ServiceSight::typical);
+        let watch = state.domains.entry(server.entry.domain.clone()).or_default();
         if let Some((report, at)) = self.sightings.freshest(&server.entry.name) {
             sight.gauge.note_report(report, at);
+            watch.note_heard(at);
+        }
+        if watch.is_avoided(now) {
+            return SendChoice::Refuse(NotRunReason::NoOwner);
         }
         let expected = sight.gauge.expected_seconds(typical, now);
         match expected > request.left(now).as_secs_f64() {
@@ -94,7 +99,7 @@
         let most_open = (connections * CONNECTION_SHARE / n_vms).floor().max(1.0);
         let servers: Vec<&SeenServer> = beliefs.usable(&request.service).collect();
         let mut reason = NotRunReason::NoServer;
-        let TrafficState { sights, rng, .. } = state;
+        let TrafficState { sights, domains, rng, .. } = state;
         // Each choice draws from a generator of its own, as the costs draw too.
         let mut order = SmallRng::seed_from_u64(rng.random());
         let chosen = choose_cheapest(servers.len(), &mut order, |idx| {
@@ -111,8 +116,10 @@
                 reason = NotRunReason::Overloaded;
                 return None;
             }
+            let watch = domains.entry(server.entry.domain.clone()).or_default();
             if let Some((report, at)) = self.sightings.freshest(&server.entry.name) {
                 sight.gauge.note_report(report, at);
+                watch.note_heard(at);
             }
             let expected = sight.gauge.expected_seconds(typical, now);
             let crossing = if server.entry.domain == self.settings.load().domain {
@@ -120,7 +127,8 @@
             } else {
                 CROSSING_WEIGHT
             };
-            let pause = if sight.gauge.is_paused(now) { PAUSE_WEIGHT } else { 0.0 };
+            let is_suspect = sight.gauge.is_paused(now) || watch.is_avoided(now);
+            let pause = if is_suspect { PAUSE_WEIGHT } else { 0.0 };
             let jitter = 1.0 + JITTER * rng.random::<f64>();
             Some(expected / objective * jitter + crossing + pause)
         });
--- a/crates/entry/src/traffic/exchange.rs
+++ b/crates/entry/src/traffic/exchange.rs
@@ -32,6 +32,7 @@
             let mut state = self.state.borrow_mut();
             let sight = sight(&mut state.sights, server);
             sight.begin(now);
+            state.domains.entry(server.entry.domain.clone()).or_default().note_sent(now);
         }
         let mut open = CallGuard { traffic: self, server: name.clone(), started: now, end: None };
         let pooled = self.state.borrow_mut().pool.take(address, now);
@@ -108,6 +109,9 @@
         let names = self.format.headers();
         let name = &server.entry.name;
         let now = self.clock.now();
+        if let Some(watch) = self.state.borrow_mut().domains.get_mut(&server.entry.domain) {
+            watch.note_heard(now);
+        }
         if answer.headers.get(&names.request_id) != Some(&request.id) {
             open.end = Some(CallEnd::Failed);
             self.log_send(request, name, "answer-crossed", None);
--- a/crates/policy/tests/it/main.rs
+++ b/crates/policy/tests/it/main.rs
@@ -6,6 +6,7 @@
 mod budget;
 mod cold_pace;
 mod concurrency;
+mod domain_watch;
 mod gauge;
 mod placement;
 mod return_time;
