--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -12,7 +12,7 @@
 use model::{
     DomainName, Idempotency, MonoTime, NotRunReason, ServerName, ServiceName, UnknownReason,
 };
-use policy::{CallEnd, DomainWatch, RetryBudget, choose_cheapest, return_time};
+use policy::{CallEnd, DomainWatch, RetryBudget, ServerGauge, choose_cheapest, return_time};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use settings::ProcessClock;
 use slog::{Logger, info};
--- a/crates/entry/src/traffic/choice.rs
+++ b/crates/entry/src/traffic/choice.rs
@@ -75,8 +75,7 @@
         if watch.is_avoided(now) {
             return SendChoice::Refuse(NotRunReason::NoOwner);
         }
-        let expected = sight.gauge.expected_seconds(typical, now);
-        match expected > request.left(now).as_secs_f64() {
+        match is_overlong(&sight.gauge, request, typical, now) {
             true => SendChoice::Refuse(NotRunReason::Overloaded),
             false => SendChoice::To(server.clone()),
         }
@@ -135,8 +134,7 @@
         let Some(server) = chosen.map(|idx| servers[idx]) else {
             return SendChoice::Refuse(reason);
         };
-        let expected = sight(sights, server).gauge.expected_seconds(typical, now);
-        match expected > request.left(now).as_secs_f64() {
+        match is_overlong(&sight(sights, server).gauge, request, typical, now) {
             true => SendChoice::Refuse(NotRunReason::Overloaded),
             false => SendChoice::To(server.clone()),
         }
@@ -160,3 +158,9 @@
         Duration::from_secs_f64(shortest)
     }
 }
+
+/// Whether the server's queue is too long for the request to join it.
+fn is_overlong(gauge: &ServerGauge, request: &RequestState, typical: f64, now: MonoTime) -> bool {
+    let objective = (request.arrived + request.route.objective).since(now);
+    gauge.is_overlong(objective, request.left(now), typical, now)
+}
--- a/crates/policy/src/gauge.rs
+++ b/crates/policy/src/gauge.rs
@@ -8,6 +8,8 @@
 use model::MonoTime;
 use smallvec::SmallVec;
 
+use crate::queue_bound;
+
 /// Age at which a report weighs half.
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(250);
 
@@ -164,24 +166,41 @@
     pub fn queue_seconds(&self, typical: f64, now: MonoTime) -> f64 {
         let slots = f64::from(self.slots);
         let queued = (self.n_present(now) + 1.0 - slots).max(0.0);
-        self.work.unwrap_or(typical) * queued / slots
+        self.current_work(typical, now) * queued / slots
     }
 
-    /// Estimated seconds to the answer of a request sent now; `typical` stands in while nothing has
-    /// been answered.
-    pub fn expected_seconds(&self, typical: f64, now: MonoTime) -> f64 {
-        let work = self.work.unwrap_or(typical);
+    /// Seconds of work for one request, as the server's machine is now.
+    pub fn current_work(&self, typical: f64, now: MonoTime) -> f64 {
         let pace = match self.report {
             Some((report, at)) if now.since(at) < REPORT_HALF_LIFE => {
                 f64::from(report.pace_percent.max(1)) / 100.0
             }
             _ => 1.0,
         };
+        self.work.unwrap_or(typical) * pace
+    }
+
+    /// Whether the queue is too long for a request with `objective` for its answer and `left` until
+    /// its deadline; `typical` seconds of work stand in while nothing has been answered.
+    pub fn is_overlong(
+        &self,
+        objective: Duration,
+        left: Duration,
+        typical: f64,
+        now: MonoTime,
+    ) -> bool {
+        let work = self.current_work(typical, now);
+        self.queue_seconds(typical, now) > queue_bound(objective, left, work)
+    }
+
+    /// Estimated seconds to the answer of a request sent now; `typical` stands in while nothing has
+    /// been answered.
+    pub fn expected_seconds(&self, typical: f64, now: MonoTime) -> f64 {
         let slots = f64::from(self.slots);
         let present = self.n_present(now);
         let queued = (present + 1.0 - slots).max(0.0);
         // Servers slow down somewhat as their slots fill, so the emptier of two is preferred.
         let crowding = 1.0 + 0.2 * (present / slots).min(1.0);
-        work * pace * (crowding + queued / slots)
+        self.current_work(typical, now) * (crowding + queued / slots)
     }
 }
--- a/crates/policy/tests/it/gauge.rs
+++ b/crates/policy/tests/it/gauge.rs
@@ -55,3 +55,11 @@
     gauge.finish(CallEnd::Answered(Duration::from_millis(80)), at(360));
     assert!(!gauge.is_paused(at(361)));
 }
+
+#[test]
+fn a_full_queue_is_not_joined_however_long_nothing_was_sent() {
+    let mut gauge = ServerGauge::new(4);
+    gauge.note_report(report(4, 16, 100), at(5_000));
+    let (objective, left) = (Duration::from_millis(400), Duration::from_secs(1));
+    assert!(gauge.is_overlong(objective, left, 0.12, at(5_010)));
+}
--- a/crates/policy/tests/it/main.rs
+++ b/crates/policy/tests/it/main.rs
@@ -9,6 +9,7 @@
 mod domain_watch;
 mod gauge;
 mod placement;
+mod queue_bound;
 mod return_time;
 mod warmup;
 
