--- a/crates/policy/src/gauge.rs
+++ b/crates/policy/src/gauge.rs
@@ -25,6 +25,9 @@
 /// Share of time for which a server is assumed to be busy while nothing is known of it.
 const ASSUMED_USE: f64 = 0.5;
 
+/// Time after the last call for which a server that is too slow is not tried again.
+const TRIAL_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Times of calls that are kept to be added to a report.
 const MAX_SENT_TIMES: usize = 16;
 
@@ -63,6 +66,7 @@
     /// When recent calls were sent that the report does not count.
     sent_since: SmallVec<[MonoTime; 8]>,
     work: Option<f64>,
+    sent_at: Option<MonoTime>,
     n_failed: u32,
     paused_until: MonoTime,
 }
@@ -76,6 +80,7 @@
             report: None,
             sent_since: SmallVec::new(),
             work: None,
+            sent_at: None,
             n_failed: 0,
             paused_until: MonoTime::default(),
         }
@@ -84,6 +89,7 @@
     /// Notes that a call is sent.
     pub fn begin(&mut self, now: MonoTime) {
         self.n_open += 1;
+        self.sent_at = Some(now);
         if self.sent_since.len() == MAX_SENT_TIMES {
             self.sent_since.remove(0);
         }
@@ -182,6 +188,9 @@
 
     /// Whether the queue is too long for a request with `objective` for its answer and `left` until
     /// its deadline; `typical` seconds of work stand in while nothing has been answered.
+    ///
+    /// A server that seems to work longer than callers wait is tried now and then all the same, as
+    /// nothing else would tell that it has become faster, or that this router was itself frozen.
     pub fn is_overlong(
         &self,
         objective: Duration,
@@ -189,7 +198,9 @@
         typical: f64,
         now: MonoTime,
     ) -> bool {
+        let is_untried = self.sent_at.is_none_or(|it| now.since(it) >= TRIAL_INTERVAL);
         let work = self.current_work(typical, now);
+        let work = if is_untried { work.min(typical) } else { work };
         self.queue_seconds(typical, now) > queue_bound(objective, left, work)
     }
 
--- a/crates/policy/tests/it/gauge.rs
+++ b/crates/policy/tests/it/gauge.rs
@@ -56,6 +56,26 @@
     assert!(!gauge.is_paused(at(361)));
 }
 
+/// Soak seed 100: a router was frozen, or its server slow, until its calls seemed to take longer than
+/// callers wait. It never sent there again, and refused all requests for the server's keys.
+#[test]
+fn a_server_that_seemed_too_slow_is_tried_again() {
+    let mut gauge = ServerGauge::new(4);
+    let is_overlong = |gauge: &ServerGauge, now| {
+        gauge.is_overlong(Duration::from_millis(500), Duration::from_secs(2), 0.05, at(now))
+    };
+    for _ in 0..12 {
+        gauge.begin(at(0));
+        gauge.finish(CallEnd::Answered(Duration::from_secs(6)), at(6_000));
+    }
+    gauge.begin(at(6_000));
+    gauge.finish(CallEnd::Answered(Duration::from_secs(6)), at(6_010));
+    assert!(is_overlong(&gauge, 6_020), "it would be answered too late");
+    assert!(!is_overlong(&gauge, 7_000), "only a request tells whether that is so still");
+    gauge.begin(at(7_000));
+    assert!(is_overlong(&gauge, 7_010), "one request is enough to tell");
+}
+
 #[test]
 fn a_full_queue_is_not_joined_however_long_nothing_was_sent() {
     let mut gauge = ServerGauge::new(4);
