--- a/crates/entry/src/sightings.rs
+++ b/crates/entry/src/sightings.rs
@@ -16,7 +16,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Time between notes of a VM.
-pub const SIGHT_INTERVAL: Duration = Duration::from_millis(120);
+pub const SIGHT_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Age beyond which a report says nothing.
 const MAX_AGE: Duration = Duration::from_millis(1_500);
