--- a/crates/entry/src/assigner.rs
+++ b/crates/entry/src/assigner.rs
@@ -109,6 +109,8 @@
     renewed_at: BTreeMap<(ServiceName, ServerLife), MonoTime>,
     balanced_at: BTreeMap<ServiceName, MonoTime>,
     vacant_since: Option<MonoTime>,
+    /// When a renewal of the lease was last tried.
+    keeping_tried_at: MonoTime,
     /// Whether the store has not renewed the lease for so long that grants are made long.
     is_stale: bool,
     notes: Option<UdpSocket>,
@@ -161,6 +163,7 @@
             renewed_at: BTreeMap::new(),
             balanced_at: BTreeMap::new(),
             vacant_since: None,
+            keeping_tried_at: MonoTime::default(),
             is_stale: false,
             notes: None,
             revisions: BTreeMap::new(),
--- a/crates/entry/src/assigner/campaign.rs
+++ b/crates/entry/src/assigner/campaign.rs
@@ -8,14 +8,17 @@
 /// Time between renewals.
 const LEASE_INTERVAL: Duration = Duration::from_millis(700);
 
+/// Time between attempts at a renewal that fails.
+const LEASE_RETRY: Duration = Duration::from_millis(250);
+
 /// Time after which a predecessor surely sends no more orders.
 const PREDECESSOR_WAIT: Duration = Duration::from_millis(3_200);
 
 /// Wait of each further VM before it tries to become the assigner.
 const CAMPAIGN_STAGGER: Duration = Duration::from_millis(120);
 
-/// Most steps that a VM waits.
-const MAX_STAGGERS: u32 = 12;
+/// Most steps that a VM waits; fewer would let many VMs of a large fleet try at the same moment.
+const MAX_STAGGERS: u32 = 40;
 
 impl<S: StateStore, F: ServerFormat> KeyAssigner<S, F> {
     pub(super) fn step_down(&mut self, cause: &'static str) {
@@ -115,9 +118,12 @@
 
     /// Renews the lease beside the round, when it is due and no renewal is under way.
     pub(super) fn start_keeping(&mut self, lease: HeldLease, now: MonoTime) {
-        if now.since(lease.kept_at) < LEASE_INTERVAL || self.tasks.contains_key(&TaskKey::Lease) {
+        let is_due = now.since(lease.kept_at) >= LEASE_INTERVAL
+            && now.since(self.keeping_tried_at) >= LEASE_RETRY;
+        if !is_due || self.tasks.contains_key(&TaskKey::Lease) {
             return;
         }
+        self.keeping_tried_at = now;
         self.tasks.insert(TaskKey::Lease, now);
         let (store, book, log) = (self.store.clone(), self.book.clone(), self.log.clone());
         let sender = self.news.0.clone();
--- a/crates/entry/src/beliefs.rs
+++ b/crates/entry/src/beliefs.rs
@@ -130,6 +130,10 @@
         loop {
             let called_at = self.clock.now();
             let wanted = self.choice.source(self.state.borrow().snapshot(), called_at);
+            let Some(wanted) = wanted else {
+                sleep(FAULT_PAUSE).await;
+                continue;
+            };
             if wanted != source {
                 info!(self.log, "news-source"; "from" => ?wanted, "before" => ?source);
                 mark = ReadMark::default();
--- a/crates/entry/src/news.rs
+++ b/crates/entry/src/news.rs
@@ -171,24 +171,28 @@
     domain: DomainName,
     paused: BTreeMap<VmName, MonoTime>,
     store_paused_until: MonoTime,
+    /// Whether it is this VM's part to follow the store for its domain.
+    is_follower: bool,
 }
 
 impl SourceChoice {
     /// The choice of the VM `vm` in `domain`.
     pub fn new(vm: VmName, domain: DomainName) -> Self {
-        Self { vm, domain, paused: BTreeMap::new(), store_paused_until: MonoTime::default() }
+        let store_paused_until = MonoTime::default();
+        Self { vm, domain, paused: BTreeMap::new(), store_paused_until, is_follower: true }
     }
 
-    /// The source to use now.
-    pub fn source(&self, beliefs: &BeliefSnapshot, now: MonoTime) -> NewsSource {
+    /// The source to use now; nothing while all that there are have failed a moment ago.
+    pub fn source(&mut self, beliefs: &BeliefSnapshot, now: MonoTime) -> Option<NewsSource> {
         let own_turn = followers(beliefs, &self.domain).any(|it| *it == self.vm);
         let is_known = beliefs.vms.contains_key(&self.vm);
+        self.is_follower = own_turn || !is_known;
         let own_domain = self.relay(beliefs, &[&self.domain], now);
         let is_store_usable = now >= self.store_paused_until;
         match own_domain {
-            Some(relay) if is_known && !own_turn => relay,
-            _ if is_store_usable => NewsSource::Store,
-            Some(relay) => relay,
+            Some(relay) if is_known && !own_turn => Some(relay),
+            _ if is_store_usable => Some(NewsSource::Store),
+            Some(relay) => Some(relay),
             None => {
                 let others: Vec<&DomainName> = beliefs
                     .vms
@@ -196,7 +200,7 @@
                     .map(|it| &it.domain)
                     .filter(|it| **it != self.domain)
                     .collect();
-                self.relay(beliefs, &others, now).unwrap_or(NewsSource::Store)
+                self.relay(beliefs, &others, now)
             }
         }
     }
@@ -217,7 +221,10 @@
     /// Notes that a source failed.
     pub fn note_fault(&mut self, source: &NewsSource, now: MonoTime) {
         match source {
-            NewsSource::Store => self.store_paused_until = now + STORE_PAUSE,
+            NewsSource::Store => {
+                let pause = if self.is_follower { STORE_PAUSE } else { OUTSIDER_PAUSE };
+                self.store_paused_until = now + pause;
+            }
             NewsSource::Relay(vm, _) => {
                 self.paused.insert(vm.clone(), now + RELAY_PAUSE);
             }
@@ -228,6 +235,9 @@
 /// Time for which the store is left alone after a fault, while another VM can tell its news.
 const STORE_PAUSE: Duration = Duration::from_millis(1_000);
 
+/// The same for a VM that others don't wait for: a store in an outage is asked by the few that have to.
+const OUTSIDER_PAUSE: Duration = Duration::from_millis(2_500);
+
 /// The VMs of a domain that follow the store themselves.
 fn followers<'a>(
     beliefs: &'a BeliefSnapshot,
--- a/crates/entry/src/presence.rs
+++ b/crates/entry/src/presence.rs
@@ -17,7 +17,7 @@
 const PRESENCE_INTERVAL: Duration = Duration::from_millis(2_500);
 
 /// Pause after a failed attempt.
-const FAULT_PAUSE: Duration = Duration::from_millis(1_000);
+const FAULT_PAUSE: Duration = Duration::from_millis(2_000);
 
 /// Longest wait for the store's answer.
 const STORE_TIMEOUT: Duration = Duration::from_millis(800);
--- a/crates/entry/tests/it/relays.rs
+++ b/crates/entry/tests/it/relays.rs
@@ -32,8 +32,8 @@
     BeliefSnapshot { vms: Arc::new(vms), ..BeliefSnapshot::default() }
 }
 
-fn relay_of(choice: &SourceChoice, now: MonoTime) -> Option<VmName> {
-    match choice.source(&beliefs(), now) {
+fn relay_of(choice: &mut SourceChoice, now: MonoTime) -> Option<VmName> {
+    match choice.source(&beliefs(), now).expect("a source") {
         NewsSource::Store => None,
         NewsSource::Relay(vm, _) => Some(vm),
     }
@@ -45,26 +45,44 @@
 
 #[test]
 fn the_strongest_vm_of_a_domain_follows_the_store_and_the_others_follow_it() {
-    assert_eq!(relay_of(&SourceChoice::new(vm("a-2"), domain("a")), at(0)), None);
-    assert_eq!(relay_of(&SourceChoice::new(vm("a-1"), domain("a")), at(0)), Some(vm("a-2")));
+    assert_eq!(relay_of(&mut SourceChoice::new(vm("a-2"), domain("a")), at(0)), None);
+    assert_eq!(relay_of(&mut SourceChoice::new(vm("a-1"), domain("a")), at(0)), Some(vm("a-2")));
 }
 
 #[test]
 fn a_follower_asks_the_store_while_its_relay_fails_and_another_domain_while_both_do() {
     let mut choice = SourceChoice::new(vm("a-1"), domain("a"));
-    let relay = choice.source(&beliefs(), at(0));
+    let relay = choice.source(&beliefs(), at(0)).expect("a relay");
     choice.note_fault(&relay, at(0));
-    assert_eq!(relay_of(&choice, at(10)), None);
+    assert_eq!(relay_of(&mut choice, at(10)), None);
     choice.note_fault(&NewsSource::Store, at(10));
-    assert_eq!(relay_of(&choice, at(20)), Some(vm("b-2")));
+    assert_eq!(relay_of(&mut choice, at(20)), Some(vm("b-2")));
     let later = at(20) + Duration::from_secs(4);
-    assert_eq!(relay_of(&choice, later), Some(vm("a-2")), "it is tried again");
+    assert_eq!(relay_of(&mut choice, later), Some(vm("a-2")), "it is tried again");
 }
 
 #[test]
 fn a_vm_that_the_store_turns_away_asks_another_domain() {
     let mut choice = SourceChoice::new(vm("a-2"), domain("a"));
     choice.note_fault(&NewsSource::Store, at(0));
-    assert_eq!(relay_of(&choice, at(10)), Some(vm("b-2")));
-    assert_eq!(relay_of(&choice, at(1_100)), None, "the store is asked again");
+    assert_eq!(relay_of(&mut choice, at(10)), Some(vm("b-2")));
+    assert_eq!(relay_of(&mut choice, at(1_100)), None, "the store is asked again");
+}
+
+/// An outage of eight seconds with 90 VMs: only those that others wait for ask each second.
+#[test]
+fn a_store_in_an_outage_is_asked_seldom_by_vms_that_nobody_waits_for() {
+    let n_asked = |name: &str| {
+        let mut choice = SourceChoice::new(vm(name), domain("a"));
+        let mut n_asked = 0;
+        for now in (0..8_000).step_by(100) {
+            if let Some(source) = choice.source(&beliefs(), at(now)) {
+                n_asked += u32::from(source == NewsSource::Store);
+                choice.note_fault(&source, at(now));
+            }
+        }
+        n_asked
+    };
+    assert_eq!(n_asked("a-2"), 8);
+    assert!(n_asked("a-1") <= 4, "{}", n_asked("a-1"));
 }
