--- a/crates/entry/src/traffic/exchange.rs
+++ b/crates/entry/src/traffic/exchange.rs
@@ -17,6 +17,20 @@
     Failed(UnknownReason, Option<PeerAnswer>),
 }
 
+/// Why a server's answer is not there.
+enum SendFault {
+    /// There was no connection; nothing was sent.
+    NotConnected(ExchangeFault),
+    /// The connection failed when the request may have been written.
+    Broken {
+        fault: ExchangeFault,
+        /// Whether it was opened for this request.
+        is_fresh: bool,
+    },
+    /// The time ran out.
+    NoAnswer,
+}
+
 impl<F: ServerFormat> TrafficServer<F> {
     /// Sends the request to one server.
     pub(super) async fn send(
@@ -26,7 +40,6 @@
         server: &SeenServer,
         now: MonoTime,
     ) -> SendEnd {
-        let address = server.entry.address;
         let name = &server.entry.name;
         {
             let mut state = self.state.borrow_mut();
@@ -35,65 +48,67 @@
             state.domains.entry(server.entry.domain.clone()).or_default().note_sent(now);
         }
         let mut open = CallGuard { traffic: self, server: name.clone(), started: now, end: None };
-        let pooled = self.state.borrow_mut().pool.take(address, now);
-        let is_fresh = pooled.is_none();
-        let connection = match pooled {
-            Some(it) => Ok(it),
-            None => PeerConnection::open(address).await,
-        };
-        let mut connection = match connection {
-            Ok(it) => it,
-            Err(fault) => {
-                open.end = Some(CallEnd::Failed);
-                self.log_send(request, name, "not-connected", Some(&fault));
-                return SendEnd::NotRun(NotRunReason::ConnectFailed);
+        let sent_at = self.clock.now();
+        let res = self.exchange(request, original, server).await;
+        let age = self.clock.now().since(sent_at);
+        let (end, label, fault, outcome) = match res {
+            Ok((answer, connection)) => {
+                return self.judge(request, server, answer, connection, &mut open, age);
+            }
+            Err(SendFault::NotConnected(fault)) => {
+                let outcome = SendEnd::NotRun(NotRunReason::ConnectFailed);
+                (CallEnd::Failed, "not-connected", Some(fault), outcome)
+            }
+            Err(SendFault::NoAnswer) => {
+                let outcome = SendEnd::Failed(UnknownReason::DeadlinePassed, None);
+                (CallEnd::Abandoned(age), "no-answer", None, outcome)
+            }
+            Err(SendFault::Broken { fault, is_fresh }) => {
+                let label = if is_fresh { "broken" } else { "broken-reused" };
+                let outcome = SendEnd::Failed(UnknownReason::ConnectionLost, None);
+                (CallEnd::Failed, label, Some(fault), outcome)
             }
         };
-        let now = self.clock.now();
-        let left = request.left(now);
+        open.end = Some(end);
+        self.log_send(request, name, label, fault.as_ref());
+        outcome
+    }
+
+    /// Exchanges over an idle connection, or over a new one where there is none, or where the idle
+    /// one had ended before anything was written.
+    async fn exchange(
+        &self,
+        request: &mut RequestState,
+        original: &CallerRequest,
+        server: &SeenServer,
+    ) -> Result<(PeerAnswer, PeerConnection), SendFault> {
+        let address = server.entry.address;
+        let pooled = self.state.borrow_mut().pool.take(address, self.clock.now());
+        let mut is_fresh = pooled.is_none();
+        let mut connection = match pooled {
+            Some(it) => it,
+            None => PeerConnection::open(address).await.map_err(SendFault::NotConnected)?,
+        };
         request.n_sends += 1;
-        let outgoing = self.outgoing(request, original, server, left);
-        let clock = self.clock;
-        let exchange = connection.exchange(outgoing, move || clock.now());
-        let mut res = timeout(left + LATE_ANSWER, exchange).await;
-        if let Ok(Err(ExchangeFault::NotConnected(_))) = res {
-            // An idle connection had ended; a new one tells whether the server is there.
-            self.state.borrow_mut().pool.close(address);
-            connection = match PeerConnection::open(address).await {
-                Ok(it) => it,
-                Err(fault) => {
-                    open.end = Some(CallEnd::Failed);
-                    self.log_send(request, name, "not-connected", Some(&fault));
-                    return SendEnd::NotRun(NotRunReason::ConnectFailed);
-                }
-            };
+        loop {
             let left = request.left(self.clock.now());
             let outgoing = self.outgoing(request, original, server, left);
+            let clock = self.clock;
             let exchange = connection.exchange(outgoing, move || clock.now());
-            res = timeout(left + LATE_ANSWER, exchange).await;
-        }
-        let ended = self.clock.now();
-        let age = ended.since(now);
-        let answer = match res {
-            Err(_) => {
-                open.end = Some(CallEnd::Abandoned(age));
-                self.log_send(request, name, "no-answer", None);
-                return SendEnd::Failed(UnknownReason::DeadlinePassed, None);
-            }
-            Ok(Err(fault)) => {
-                open.end = Some(CallEnd::Failed);
-                self.state.borrow_mut().pool.close(address);
-                self.log_send(
-                    request,
-                    name,
-                    if is_fresh { "broken" } else { "broken-reused" },
-                    Some(&fault),
-                );
-                return SendEnd::Failed(UnknownReason::ConnectionLost, None);
+            match timeout(left + LATE_ANSWER, exchange).await {
+                Ok(Ok(answer)) => return Ok((answer, connection)),
+                Err(_) => return Err(SendFault::NoAnswer),
+                Ok(Err(fault)) => {
+                    self.state.borrow_mut().pool.close(address);
+                    if is_fresh || !matches!(fault, ExchangeFault::NotConnected(_)) {
+                        return Err(SendFault::Broken { fault, is_fresh });
+                    }
+                }
             }
-            Ok(Ok(answer)) => answer,
-        };
-        self.judge(request, server, answer, connection, &mut open, age)
+            // A new connection tells whether the server is there.
+            connection = PeerConnection::open(address).await.map_err(SendFault::NotConnected)?;
+            is_fresh = true;
+        }
     }
 
     /// Decides what a server's answer means.
--- /dev/null
+++ b/crates/ownership/tests/it/sim/checks.rs
@@ -0,0 +1,65 @@
+//! What must hold at every step.
+
+use super::*;
+
+impl Sim {
+    pub(super) fn check_invariants(&mut self) {
+        let now = self.now;
+        for slice in SliceId::all(SLICE_BITS) {
+            let key = SliceKey { service: service(), slice };
+            let mut senders: BTreeSet<String> = BTreeSet::new();
+            for router in &self.routers {
+                if let Ok(route) = router.view.route(&service(), slice, slice.start(), now) {
+                    senders.insert(format!("{}@{}", route.server, route.token));
+                    let newest = self.newest.entry(key.clone()).or_default();
+                    *newest = (*newest).max(route.token);
+                }
+            }
+            if senders.len() > 1 {
+                self.violations.push(format!("{now:?} routers send {key} to {senders:?}"));
+            }
+            let holders: Vec<usize> = self
+                .servers
+                .iter()
+                .enumerate()
+                .filter(|(_, it)| it.lease_until > now && it.granted.contains_key(&key))
+                .map(|(idx, _)| idx)
+                .collect();
+            if holders.len() > 1 {
+                self.violations.push(format!("{now:?} servers {holders:?} hold {key}"));
+            }
+            if self.check == OwnerCheck::None {
+                let running: BTreeSet<usize> = self
+                    .routers
+                    .iter()
+                    .flat_map(|it| &it.open)
+                    .filter(|it| it.0 == key && self.servers[it.2].dead_until <= now)
+                    .map(|it| it.2)
+                    .collect();
+                if running.len() > 1 {
+                    self.violations.push(format!("{now:?} servers {running:?} run {key}"));
+                }
+            }
+            let held = holders.first().map(|it| self.servers[*it].granted[&key]);
+            let last = self.committed.entry(key.clone()).or_default();
+            match held {
+                Some(token) if token < *last => {
+                    self.violations.push(format!("{now:?} {key} token fell {last} -> {token}"));
+                }
+                Some(token) => *last = token,
+                None => (),
+            }
+        }
+    }
+
+    /// Slices that no router that runs may send now.
+    pub fn unserved(&self) -> usize {
+        SliceId::all(SLICE_BITS)
+            .filter(|slice| {
+                self.routers
+                    .iter()
+                    .any(|it| it.view.route(&service(), *slice, slice.start(), self.now).is_err())
+            })
+            .count()
+    }
+}
--- /dev/null
+++ b/crates/ownership/tests/it/sim/delivery.rs
@@ -0,0 +1,250 @@
+//! What arrives where, and what each side makes of it.
+
+use super::*;
+
+impl Sim {
+    pub(super) fn deliver(&mut self, delivery: Delivery) {
+        let now = self.now;
+        match delivery {
+            Delivery::Event(idx, incarnation, event) => {
+                if self.planners[idx].incarnation == incarnation {
+                    self.feed(idx, event);
+                }
+            }
+            Delivery::Accept { from, to, ask, asked_at } => {
+                let answer = (!self.is_cut(from, to))
+                    .then(|| self.planners[to].planner.answer_accept(&ask, now));
+                self.answer_accept(from, ask, asked_at, answer);
+            }
+            Delivery::Prepare { from, to, ask } => {
+                let answer = (!self.is_cut(from, to))
+                    .then(|| self.planners[to].planner.answer_prepare(&ask, now));
+                self.answer_prepare(from, ask, answer);
+            }
+            Delivery::Hello { from, to } => {
+                if !self.is_cut(from, to) {
+                    let incarnation = self.planners[to].incarnation;
+                    let event = PlannerEvent::HelloAnswered { vm: vm_name(to), incarnation };
+                    self.feed_later(from, event);
+                }
+            }
+            Delivery::Read(from) if self.is_store_cut(from) => {
+                self.fail_later(from, PlannerEvent::RecordRead(None));
+            }
+            Delivery::Write { from, map, .. } if self.is_store_cut(from) => {
+                let (stamp, outcome) = (map.stamp, WriteOutcome::Unknown);
+                self.fail_later(from, PlannerEvent::RecordWritten { stamp, outcome });
+            }
+            Delivery::WriteHomes { from, .. } if self.is_store_cut(from) => {
+                self.fail_later(from, PlannerEvent::HomesWritten(None));
+            }
+            Delivery::Read(from) => {
+                let record = StoredRecord {
+                    map: self.store.record.as_ref().map(|it| it.0.clone()),
+                    revision: self.store.record.as_ref().map_or(0, |it| it.1),
+                };
+                self.feed_later(from, PlannerEvent::RecordRead(Some(record)));
+            }
+            Delivery::Write { from, map, expected } => self.write(from, map, expected),
+            Delivery::WriteHomes { from, table } => {
+                if self.store.homes.revision + 1 == table.revision {
+                    self.store.homes = table;
+                    for idx in 0..self.planners.len() {
+                        let homes = self.store.homes.clone();
+                        self.feed_later(idx, PlannerEvent::HomesLearned(homes));
+                    }
+                }
+                let homes = self.store.homes.clone();
+                self.feed_later(from, PlannerEvent::HomesWritten(Some(homes)));
+            }
+            Delivery::Grant { from, server, order, sent_at } => {
+                let answer = self.take_grant(server, order);
+                let event =
+                    PlannerEvent::ServerAnswered { server: server_name(server), sent_at, answer };
+                self.feed_later(from, event);
+            }
+            Delivery::Probe { from, server, sent_at } => {
+                let is_dead = self.servers[server].dead_until > now;
+                let answer = match is_dead {
+                    true => GrantAnswer::Refused,
+                    false => GrantAnswer::Acked {
+                        term: Default::default(),
+                        set_version: 0,
+                        basis: String::new(),
+                    },
+                };
+                let event =
+                    PlannerEvent::ServerAnswered { server: server_name(server), sent_at, answer };
+                self.feed_later(from, event);
+            }
+            Delivery::Lease { router, to, .. } if self.is_router_cut(router, to) => (),
+            Delivery::Leased { router, from, .. } if self.is_router_cut(router, from) => (),
+            Delivery::Lease { router, to, number, ask } => {
+                let answer = self.planners[to].planner.answer_lease(&ask, now);
+                self.send(Delivery::Leased { router, from: to, number, answer });
+            }
+            Delivery::Leased { router, from, number, answer } => {
+                self.take_lease(router, from, number, answer);
+            }
+        }
+    }
+
+    pub(super) fn answer_accept(
+        &mut self,
+        from: usize,
+        ask: AcceptAsk,
+        asked_at: MonoTime,
+        answer: Option<AcceptAnswer>,
+    ) {
+        let incarnation = self.planners[from].incarnation;
+        let delay = if answer.is_some() { STEP } else { CALL_TIMEOUT };
+        let event =
+            PlannerEvent::AcceptAnswered { from: ask.witness, asked_at, stamp: ask.stamp, answer };
+        self.deliver_after(delay, Delivery::Event(from, incarnation, event));
+    }
+
+    pub(super) fn answer_prepare(
+        &mut self,
+        from: usize,
+        ask: PrepareAsk,
+        answer: Option<PrepareAnswer>,
+    ) {
+        let incarnation = self.planners[from].incarnation;
+        let delay = if answer.is_some() { STEP } else { CALL_TIMEOUT };
+        let event = PlannerEvent::PrepareAnswered { from: ask.witness, term: ask.term, answer };
+        self.deliver_after(delay, Delivery::Event(from, incarnation, event));
+    }
+
+    pub(super) fn write(&mut self, from: usize, map: Arc<DomainMap>, expected: Option<u64>) {
+        let stamp = map.stamp;
+        let held = self.store.record.as_ref().map(|it| it.1);
+        let outcome = if held == expected {
+            self.store.revision += 1;
+            self.store.record = Some((map, self.store.revision));
+            match self.store.n_lost {
+                0 => WriteOutcome::Written(self.store.revision),
+                _ => {
+                    self.store.n_lost -= 1;
+                    WriteOutcome::Unknown
+                }
+            }
+        } else {
+            WriteOutcome::Conflict
+        };
+        self.feed_later(from, PlannerEvent::RecordWritten { stamp, outcome });
+    }
+
+    pub(super) fn take_grant(&mut self, idx: usize, order: GrantOrder) -> GrantAnswer {
+        let now = self.now;
+        let server = &mut self.servers[idx];
+        if server.dead_until > now {
+            return GrantAnswer::Refused;
+        }
+        let position = (order.term.0, order.set_version);
+        if position < (server.term, server.set_version) {
+            return match order.term.0 < server.term {
+                true => GrantAnswer::Rejected { term: model::Term(server.term) },
+                false => GrantAnswer::NeedSet { basis: server.issue(now) },
+            };
+        }
+        let issued = order.basis.as_ref().and_then(|it| server.receipts.get(it)).copied();
+        let Some(issued) = issued else {
+            return GrantAnswer::NeedSet { basis: server.issue(now) };
+        };
+        let is_lapsed = server.lease_until <= now;
+        if is_lapsed {
+            server.granted.clear();
+        }
+        match order.entries {
+            Some(entries) => {
+                server.granted = entries.into_iter().collect();
+                (server.term, server.set_version) = position;
+            }
+            None if is_lapsed || position != (server.term, server.set_version) => {
+                return GrantAnswer::NeedSet { basis: server.issue(now) };
+            }
+            None => (),
+        }
+        server.lease_until = server.lease_until.max(issued + order.lease);
+        GrantAnswer::Acked {
+            term: order.term,
+            set_version: order.set_version,
+            basis: server.issue(now),
+        }
+    }
+
+    pub(super) fn take_lease(&mut self, idx: usize, from: usize, number: u64, answer: LeaseAnswer) {
+        let router = &mut self.routers[idx];
+        match answer {
+            LeaseAnswer::Leased { stamp, lease } => {
+                router.acting = Some(from);
+                router.view.take_lease(number, stamp, lease);
+            }
+            LeaseAnswer::Behind { map } => {
+                router.acting = Some(from);
+                router.view.take_map(&map);
+                self.ask(idx);
+            }
+            LeaseAnswer::NotActing { .. } => (),
+        }
+    }
+
+    pub(super) fn feed(&mut self, idx: usize, event: PlannerEvent) {
+        let now = self.now;
+        let wall = WallTime(now.as_millis() / 1_000);
+        let actions = self.planners[idx].planner.handle(event, now, wall);
+        for action in actions {
+            self.carry_out(idx, action);
+        }
+    }
+
+    pub(super) fn carry_out(&mut self, from: usize, action: PlannerAction) {
+        match action {
+            PlannerAction::Accept { ask, asked_at } => {
+                let to = index(ask.witness.name.as_str());
+                self.send(Delivery::Accept { from, to, ask, asked_at });
+            }
+            PlannerAction::Prepare(ask) => {
+                let to = index(ask.witness.name.as_str());
+                self.send(Delivery::Prepare { from, to, ask });
+            }
+            PlannerAction::Hello(vm) => {
+                let to = index(vm.as_str());
+                self.send(Delivery::Hello { from, to });
+            }
+            PlannerAction::ReadRecord => self.send(Delivery::Read(from)),
+            PlannerAction::WriteRecord { map, expected } => {
+                self.send(Delivery::Write { from, map, expected });
+            }
+            PlannerAction::WriteHomes(table) => self.send(Delivery::WriteHomes { from, table }),
+            PlannerAction::Grant { server, order, sent_at, .. } => {
+                let server = index(server.as_str());
+                self.send(Delivery::Grant { from, server, order, sent_at });
+            }
+            PlannerAction::Probe { server, sent_at, .. } => {
+                let server = index(server.as_str());
+                self.send(Delivery::Probe { from, server, sent_at });
+            }
+            PlannerAction::ServerReturned(_) => (),
+            PlannerAction::Publish(map) => self.publish(from, map),
+            PlannerAction::RoleChanged { role, term } => {
+                let ms = self.now.as_millis() - 10_000;
+                writeln!(self.log, "{ms} vm{from} {role} term={term}").unwrap();
+            }
+        }
+    }
+
+    pub(super) fn publish(&mut self, from: usize, map: Arc<DomainMap>) {
+        let is_new = self.planners[from].published.as_ref().is_none_or(|it| it.stamp != map.stamp);
+        if is_new {
+            let owners: Vec<String> = map
+                .entries
+                .values()
+                .map(|it| it.owner.as_ref().map_or("-".to_owned(), |o| o.to_string()))
+                .collect();
+            let ms = self.now.as_millis() - 10_000;
+            writeln!(self.log, "{ms} vm{from} map={} {}", map.stamp, owners.join(",")).unwrap();
+        }
+        self.planners[from].published = Some(map);
+    }
+}
