--- a/crates/entry/src/orders.rs
+++ b/crates/entry/src/orders.rs
@@ -142,8 +142,10 @@
         let names = self.format.headers();
         let text = |name| answer.headers.get(name).and_then(|it| it.to_str().ok());
         let handover = text(&names.handover).map(str::to_owned);
-        // One that takes the order for a caller's request without an id owns no keys.
+        // Orders name their server, and any other answers as to a misdirected request; one that
+        // takes the order for a caller's request without an id owns no keys.
         let is_other = text(&names.server).is_some_and(|it| it != life.server.as_str())
+            || answer.status == StatusCode::MISDIRECTED_REQUEST
             || (answer.status == StatusCode::BAD_REQUEST
                 && answer.headers.contains_key(&names.not_run));
         match answer.status {
--- a/crates/entry/src/traffic/choice.rs
+++ b/crates/entry/src/traffic/choice.rs
@@ -68,10 +68,7 @@
         }
         let typical = state.services.get(&request.service).map_or(0.1, ServiceSight::typical);
         let watch = state.domains.entry(server.entry.domain.clone()).or_default();
-        if let Some((report, at)) = self.sightings.freshest(&server.entry.name) {
-            sight.gauge.note_report(report, at);
-            watch.note_heard(at);
-        }
+        self.hear_of(server, sight, watch);
         if watch.is_avoided(now) {
             return SendChoice::Refuse(NotRunReason::NoOwner);
         }
@@ -116,16 +113,10 @@
                 return None;
             }
             let watch = domains.entry(server.entry.domain.clone()).or_default();
-            if let Some((report, at)) = self.sightings.freshest(&server.entry.name) {
-                sight.gauge.note_report(report, at);
-                watch.note_heard(at);
-            }
+            self.hear_of(server, sight, watch);
             let expected = sight.gauge.expected_seconds(typical, now);
-            let crossing = if server.entry.domain == self.settings.load().domain {
-                0.0
-            } else {
-                CROSSING_WEIGHT
-            };
+            let is_own_domain = server.entry.domain == self.settings.load().domain;
+            let crossing = if is_own_domain { 0.0 } else { CROSSING_WEIGHT };
             let is_suspect = sight.gauge.is_paused(now) || watch.is_avoided(now);
             let pause = if is_suspect { PAUSE_WEIGHT } else { 0.0 };
             let jitter = 1.0 + JITTER * rng.random::<f64>();
@@ -140,6 +131,14 @@
         }
     }
 
+    /// Takes in what any VM has heard of a server last.
+    fn hear_of(&self, server: &SeenServer, sight: &mut ServerSight, watch: &mut DomainWatch) {
+        if let Some((report, at)) = self.sightings.freshest(&server.entry.name) {
+            sight.gauge.note_report(report, at);
+            watch.note_heard(at);
+        }
+    }
+
     /// Estimated time in the queue of the server that has the shortest.
     pub(super) fn shortest_queue(&self, request: &RequestState, now: MonoTime) -> Duration {
         let beliefs = self.board.current();
