--- a/crates/entry/src/assigner.rs
+++ b/crates/entry/src/assigner.rs
@@ -35,7 +35,7 @@
 use crate::{
     AssignerRecord, EntrySettings, LeaseId, RecordChange, ServerFormat, SnapshotChannel,
     StateSnapshot, StateStore, StoreError, StoredAssigner, StoredShards,
-    datagrams::{AckedRange, PeerDatagram, ShardUpdate, bind_socket, encode_datagram},
+    datagrams::{AckedRange, PeerDatagram, ShardUpdate, bind_socket, encode_datagrams},
     orders::{GrantKind, OrderOutcome, OrderSender, hold_end},
     state_cache::{ASSIGNER_RECORD, SHARDS_PREFIX, StateCache, encode_record},
 };
@@ -158,7 +158,7 @@
     /// Creates an assigner that does not hold the lease.
     pub fn new(parts: AssignerParts<S, F>) -> Self {
         Self {
-            orders: OrderSender::new(parts.format, parts.clock),
+            orders: OrderSender::new(parts.format, parts.clock, parts.settings.answer_limits.order),
             store: parts.store,
             settings: parts.settings,
             incarnation: parts.incarnation,
@@ -191,7 +191,8 @@
             tokio::select! {
                 () = sleep(ROUND_INTERVAL) => (),
                 Some(event) = self.events.1.recv() => self.handle_order_event(event).await,
-                _ = stop.changed() => (),
+                // The process ends when the sender is gone.
+                res = stop.changed() => if res.is_err() { break },
             }
         }
         self.resign().await;
--- a/crates/entry/src/assigner/campaign.rs
+++ b/crates/entry/src/assigner/campaign.rs
@@ -105,8 +105,9 @@
         let requested_at = self.clock.now();
         let lease = self.store.open_lease(LEASE_LENGTH, STORE_TIMEOUT).await?;
         let record = self.own_record(false);
+        let predecessor = snapshot.assigner.as_ref().map_or(0, |it| it.revision);
         let change = RecordChange {
-            expected: vec![(ASSIGNER_RECORD.to_owned(), snapshot.assigner_revision)],
+            expected: vec![(ASSIGNER_RECORD.to_owned(), predecessor)],
             writes: vec![(ASSIGNER_RECORD.to_owned(), encode_record(&record), Some(lease))],
             removals: Vec::new(),
         };
--- a/crates/entry/src/assigner/planning.rs
+++ b/crates/entry/src/assigner/planning.rs
@@ -175,12 +175,21 @@
             let from = std::net::SocketAddr::new(own.ip(), 0);
             self.socket = bind_socket(from).await.ok();
         }
-        let Some((socket, bytes)) = self.socket.as_ref().zip(encode_datagram(datagram)) else {
+        let datagrams = match encode_datagrams(datagram) {
+            Ok(it) => it,
+            Err(err) => {
+                info!(self.log, "datagram-not-sent"; "cause" => %err);
+                return;
+            }
+        };
+        let Some(socket) = &self.socket else {
             return;
         };
         let snapshot = self.channel.current();
         for presence in snapshot.vms.values().filter(|it| it.reports != own) {
-            let _ = socket.send_to(&bytes, presence.reports).await;
+            for bytes in &datagrams {
+                let _ = socket.send_to(bytes, presence.reports).await;
+            }
         }
     }
 }
--- a/crates/entry/src/connections.rs
+++ b/crates/entry/src/connections.rs
@@ -2,7 +2,16 @@
 //!
 //! Each carries one request at a time and is closed as soon as its state is in doubt.
 
-use std::{collections::HashMap, io, net::SocketAddr, time::Duration};
+use std::{
+    collections::HashMap,
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode, header};
@@ -13,6 +22,8 @@
 use socket2::SockRef;
 use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
 
+use crate::observed_stream::{ObservedStream, ReadObserver};
+
 /// Longest wait for a connection to be established.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -25,6 +36,9 @@
 /// Time before the peer's keep-alive timeout at which a connection is no longer reused.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(1_500);
 
+/// Largest head of an answer in bytes; interim answers count by themselves.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
 /// An HTTP answer with its complete body.
 #[derive(Debug, Clone)]
 pub struct HttpAnswer {
@@ -45,23 +59,80 @@
     NotConnected(StepError),
     /// The connection failed after the request may have been written, so that it may have run.
     Broken(StepError),
+    /// The peer sent more bytes than an answer may have; the request may have run.
+    TooLong(StepError),
 }
 
 impl ExchangeError {
     /// The underlying error with the step that failed.
     pub fn error(&self) -> &StepError {
         match self {
-            Self::Refused(err) | Self::NotConnected(err) | Self::Broken(err) => err,
+            Self::Refused(err)
+            | Self::NotConnected(err)
+            | Self::Broken(err)
+            | Self::TooLong(err) => err,
         }
     }
 }
 
+/// Bytes received since the last request, and their limit; clones share the count.
+///
+/// It counts all bytes, so that heads, interim answers, chunk headers and bodies without end are
+/// bounded alike.
+#[derive(Debug, Clone)]
+struct ReadMeter {
+    n_read: Arc<AtomicUsize>,
+    limit: usize,
+}
+
+impl ReadMeter {
+    fn new(limit: usize) -> Self {
+        Self { n_read: Arc::default(), limit }
+    }
+
+    /// Starts counting anew, for the answer to the next request.
+    fn restart(&self) {
+        self.n_read.store(0, Ordering::Relaxed);
+    }
+
+    fn n_read(&self) -> usize {
+        self.n_read.load(Ordering::Relaxed)
+    }
+
+    fn is_exceeded(&self) -> bool {
+        self.n_read() > self.limit
+    }
+}
+
+impl ReadObserver for ReadMeter {
+    fn note_read(&mut self, n_bytes: usize) -> io::Result<()> {
+        self.n_read.fetch_add(n_bytes, Ordering::Relaxed);
+        match self.is_exceeded() {
+            true => Err(io::Error::new(io::ErrorKind::InvalidData, "answer is too long")),
+            false => Ok(()),
+        }
+    }
+}
+
+/// Number of a connection, unique within the process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConnectionNumber(u64);
+
+impl ConnectionNumber {
+    fn next() -> Self {
+        static N_OPENED: AtomicU64 = AtomicU64::new(0);
+        Self(N_OPENED.fetch_add(1, Ordering::Relaxed))
+    }
+}
+
 /// An open connection; dropping it resets the socket.
 #[derive(Debug)]
 pub struct HttpConnection {
+    number: ConnectionNumber,
     peer: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
+    meter: ReadMeter,
     /// Time until which the connection may be reused; unknown before the first answer.
     usable_until: Option<MonoTime>,
 }
@@ -73,11 +144,11 @@
 }
 
 impl HttpConnection {
-    /// Connects to `peer`.
+    /// Connects to `peer`, whose answers may have `max_answer_bytes` each, heads included.
     ///
     /// # Errors
     /// `Refused` if nothing listens there, `NotConnected` for every other failure.
-    pub async fn open(peer: SocketAddr) -> Result<Self, ExchangeError> {
+    pub async fn open(peer: SocketAddr, max_answer_bytes: usize) -> Result<Self, ExchangeError> {
         let connect_error = |err: io::Error| match err.kind() {
             io::ErrorKind::ConnectionRefused => {
                 ExchangeError::Refused(StepError::new("connect", peer, err))
@@ -96,14 +167,23 @@
         // With zero linger, closing resets the connection, so that data delayed by a partition is
         // never delivered after it.
         socket.set_linger(Some(Duration::ZERO)).map_err(connect_error)?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
-            .await
-            .map_err(|err| ExchangeError::NotConnected(StepError::new("handshake", peer, err)))?;
+        let meter = ReadMeter::new(max_answer_bytes);
+        let stream = TokioIo::new(ObservedStream::new(stream, meter.clone()));
+        let (sender, connection) =
+            http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(stream).await.map_err(
+                |err| ExchangeError::NotConnected(StepError::new("handshake", peer, err)),
+            )?;
         let driver = tokio::task::spawn_local(async move {
             // The pending request gets the error too and logs it.
             let _ = connection.await;
         });
-        Ok(Self { peer, sender, driver, usable_until: None })
+        let number = ConnectionNumber::next();
+        Ok(Self { number, peer, sender, driver, meter, usable_until: None })
+    }
+
+    /// The connection's number.
+    pub fn number(&self) -> ConnectionNumber {
+        self.number
     }
 
     /// Whether another request may be sent on this connection.
@@ -115,15 +195,22 @@
     ///
     /// # Errors
     /// `NotConnected` if the connection had been closed before the request was written, `Broken` if
-    /// it fails later or the answer is incomplete.
+    /// it fails later or the answer is incomplete, `TooLong` if the answer exceeds its limit.
     pub async fn exchange(
         &mut self,
         request: Request<Full<Bytes>>,
         now: impl Fn() -> MonoTime,
     ) -> Result<HttpAnswer, ExchangeError> {
         let peer = self.peer;
-        let broken_error =
-            |step| move |err: hyper::Error| ExchangeError::Broken(StepError::new(step, peer, err));
+        self.meter.restart();
+        let meter = self.meter.clone();
+        let answer_error = |step, err: hyper::Error| match meter.is_exceeded() {
+            is_exceeded if is_exceeded || err.is_parse_too_large() => {
+                let cause = format!("answer is too long: {} bytes received", meter.n_read());
+                ExchangeError::TooLong(StepError::new(step, peer, cause))
+            }
+            _ => ExchangeError::Broken(StepError::new(step, peer, err)),
+        };
         let response = match self.sender.try_send_request(request).await {
             Ok(it) => it,
             // `hyper` returns the request only if none of it was written.
@@ -131,10 +218,10 @@
                 let err = StepError::new("send", peer, err.into_error());
                 return Err(ExchangeError::NotConnected(err));
             }
-            Err(err) => return Err(broken_error("exchange")(err.into_error())),
+            Err(err) => return Err(answer_error("exchange", err.into_error())),
         };
         let (head, body) = response.into_parts();
-        let body = body.collect().await.map_err(broken_error("read-answer"))?.to_bytes();
+        let body = body.collect().await.map_err(|err| answer_error("read-answer", err))?.to_bytes();
         self.usable_until = Some(now() + keep_alive_time(&head.headers));
         Ok(HttpAnswer { status: head.status, headers: head.headers, body })
     }
@@ -161,15 +248,18 @@
 }
 
 impl ConnectionPool {
-    /// Takes the most recently used connection to `peer` that is still usable.
-    pub fn take(&mut self, peer: SocketAddr, now: MonoTime) -> Option<HttpConnection> {
+    /// Takes the most recently used connection to `peer` that is still usable and not in
+    /// `excluded`.
+    pub fn take(
+        &mut self,
+        peer: SocketAddr,
+        excluded: &[ConnectionNumber],
+        now: MonoTime,
+    ) -> Option<HttpConnection> {
         let idle = self.idle.get_mut(&peer)?;
-        while let Some(connection) = idle.pop() {
-            if connection.is_usable(now) {
-                return Some(connection);
-            }
-        }
-        None
+        idle.retain(|it| it.is_usable(now));
+        let idx = idle.iter().rposition(|it| !excluded.contains(&it.number))?;
+        Some(idle.remove(idx))
     }
 
     /// Returns a connection to the pool, unless its peer is about to close it.
--- a/crates/entry/src/datagrams.rs
+++ b/crates/entry/src/datagrams.rs
@@ -18,7 +18,10 @@
 /// Longest datagram in bytes.
 const MAX_DATAGRAM_BYTES: usize = 32 * 1024;
 
-/// Most keys of each service in one load datagram.
+/// Most memory that a decoded datagram may take; values take more than their encoding.
+const MAX_DECODED_BYTES: usize = 16 * MAX_DATAGRAM_BYTES;
+
+/// Most keys of each service that a router reports at a time.
 const MAX_SERVICE_KEYS: usize = 1_000;
 
 /// Load of one router, for the assigner.
@@ -28,7 +31,8 @@
     pub vm: Option<VmName>,
     /// Requests by service and key since the previous datagram.
     pub keys: Vec<(ServiceName, Vec<(u16, u32)>)>,
-    /// Average milliseconds of work for a request, by server.
+    /// Average milliseconds of work for a request, by server that has answered since the previous
+    /// datagram.
     pub work: Vec<(ServerName, u32)>,
 }
 
@@ -71,20 +75,96 @@
     ServerReports(ReportBatch),
 }
 
-/// Encodes a datagram; returns nothing if it would be too long.
-pub fn encode_datagram(mut datagram: PeerDatagram) -> Option<Vec<u8>> {
+/// A datagram that is too long and can't be divided.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct OversizedDatagram {
+    /// Encoded length in bytes.
+    pub n_bytes: usize,
+}
+
+impl std::fmt::Display for OversizedDatagram {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "datagram of {} bytes exceeds {MAX_DATAGRAM_BYTES}", self.n_bytes)
+    }
+}
+
+impl std::error::Error for OversizedDatagram {}
+
+/// Encodes a datagram, as several if it would be too long for one.
+///
+/// # Errors
+/// When it is too long and is valid only as a whole.
+pub fn encode_datagrams(mut datagram: PeerDatagram) -> Result<Vec<Vec<u8>>, OversizedDatagram> {
     if let PeerDatagram::Load(load) = &mut datagram {
-        for (_, keys) in &mut load.keys {
-            keys.truncate(MAX_SERVICE_KEYS);
+        load.keep_heaviest_keys();
+    }
+    let mut encoded = Vec::new();
+    let mut remaining = vec![datagram];
+    while let Some(datagram) = remaining.pop() {
+        // Encoding into memory can't fail: these types hold only numbers, text and lists.
+        let bytes = bincode::serde::encode_to_vec(&datagram, bincode::config::standard())
+            .unwrap_or_default();
+        match datagram.halves() {
+            _ if bytes.len() <= MAX_DATAGRAM_BYTES => encoded.push(bytes),
+            Some(halves) => remaining.extend(halves),
+            None => return Err(OversizedDatagram { n_bytes: bytes.len() }),
+        }
+    }
+    Ok(encoded)
+}
+
+impl RouterLoad {
+    /// Whether there is nothing to report.
+    pub fn is_empty(&self) -> bool {
+        self.work.is_empty() && self.keys.iter().all(|(_, keys)| keys.is_empty())
+    }
+
+    /// Two loads that add up to this one; `None` if no list of it can be divided.
+    fn halves(mut self) -> Option<[Self; 2]> {
+        let keys = match &mut self.keys[..] {
+            [(service, keys)] if keys.len() > 1 => {
+                vec![(service.clone(), keys.split_off(keys.len() / 2))]
+            }
+            services => {
+                let middle = services.len().div_ceil(2);
+                self.keys.split_off(middle)
+            }
+        };
+        let work = self.work.split_off(self.work.len().div_ceil(2));
+        let is_divided = !keys.is_empty() || !work.is_empty();
+        let second = Self { vm: self.vm.clone(), keys, work };
+        is_divided.then_some([self, second])
+    }
+
+    /// Drops the keys with the fewest requests beyond [`MAX_SERVICE_KEYS`] of each service.
+    fn keep_heaviest_keys(&mut self) {
+        for (_, keys) in &mut self.keys {
+            if keys.len() > MAX_SERVICE_KEYS {
+                keys.sort_unstable_by_key(|(_, count)| std::cmp::Reverse(*count));
+                keys.truncate(MAX_SERVICE_KEYS);
+            }
+        }
+    }
+}
+
+impl PeerDatagram {
+    /// Two datagrams that together have the same effect; `None` if it can't be divided.
+    fn halves(self) -> Option<[Self; 2]> {
+        match self {
+            Self::Load(load) => load.halves().map(|it| it.map(Self::Load)),
+            Self::ServerReports(mut batch) if batch.server_reports.len() > 1 => {
+                let server_reports = batch.server_reports.split_off(batch.server_reports.len() / 2);
+                let second = ReportBatch { domain: batch.domain.clone(), server_reports };
+                Some([Self::ServerReports(batch), Self::ServerReports(second)])
+            }
+            Self::Shards(_) | Self::Acked(_) | Self::ServerReports(_) => None,
         }
     }
-    let bytes = bincode::serde::encode_to_vec(datagram, bincode::config::standard()).ok()?;
-    (bytes.len() <= MAX_DATAGRAM_BYTES).then_some(bytes)
 }
 
 /// Decodes a datagram; returns nothing if it is invalid.
 pub fn decode_datagram(bytes: &[u8]) -> Option<PeerDatagram> {
-    let config = bincode::config::standard().with_limit::<MAX_DATAGRAM_BYTES>();
+    let config = bincode::config::standard().with_limit::<MAX_DECODED_BYTES>();
     let (datagram, _) = bincode::serde::decode_from_slice(bytes, config).ok()?;
     Some(datagram)
 }
--- a/crates/entry/src/http_server.rs
+++ b/crates/entry/src/http_server.rs
@@ -2,7 +2,13 @@
 //!
 //! They use `hyper` connections directly, as `warp` does not show when a connection ends.
 
-use std::{cell::RefCell, convert::Infallible, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    convert::Infallible,
+    io,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header};
@@ -12,11 +18,14 @@
 use slog::{Logger, warn};
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::watch,
+    sync::{Notify, watch},
     time::sleep,
 };
 
-use crate::{CallerRequest, ServerFormat, TrafficServer};
+use crate::{
+    CallerRequest, ServerFormat, TrafficServer,
+    observed_stream::{ObservedStream, ReadObserver},
+};
 
 /// Time by which an idle connection outlives the configured idle timeout.
 const IDLE_MARGIN: Duration = Duration::from_millis(1_000);
@@ -36,7 +45,8 @@
 }
 
 /// Accepts callers' connections until the closing phase; then the listener is dropped, so that new
-/// connections are refused and callers go to another VM. `n_connections` counts the open ones.
+/// connections are refused and callers go to another VM. Connections that were established by then
+/// are still served. `n_connections` counts the open ones.
 pub async fn serve_callers<F: ServerFormat>(
     listener: TcpListener,
     traffic: Rc<TrafficServer<F>>,
@@ -44,30 +54,51 @@
     n_connections: Rc<RefCell<usize>>,
     log: Logger,
 ) {
+    let spawn_connection = {
+        let phase = phase.clone();
+        move |stream| {
+            let (traffic, phase, n_connections) =
+                (traffic.clone(), phase.clone(), n_connections.clone());
+            *n_connections.borrow_mut() += 1;
+            tokio::task::spawn_local(async move {
+                serve_connection(stream, traffic, phase).await;
+                *n_connections.borrow_mut() -= 1;
+            });
+        }
+    };
     loop {
         let accepted = tokio::select! {
             it = listener.accept() => it,
-            _ = phase.wait_for(|it| *it == ShutdownPhase::Closing) => return,
+            _ = phase.wait_for(|it| *it == ShutdownPhase::Closing) => break,
         };
         match accepted {
-            Ok((stream, _)) => {
-                let (traffic, phase, n_connections) =
-                    (traffic.clone(), phase.clone(), n_connections.clone());
-                tokio::task::spawn_local(async move {
-                    *n_connections.borrow_mut() += 1;
-                    serve_connection(stream, traffic, phase).await;
-                    *n_connections.borrow_mut() -= 1;
-                });
-            }
+            Ok((stream, _)) => spawn_connection(stream),
             Err(err) => {
                 warn!(log, "accept-failed"; "cause" => %err);
                 sleep(ACCEPT_BACKOFF).await;
             }
         }
     }
+    match accept_queued(listener) {
+        Ok(streams) => streams.into_iter().for_each(spawn_connection),
+        Err(err) => warn!(log, "accept-failed"; "cause" => %err),
+    }
 }
 
-/// Serves one caller's connection until it ends; the closing phase shuts it down gracefully.
+/// Closes the listener after accepting the connections in its queue, which closing it would reset.
+fn accept_queued(listener: TcpListener) -> io::Result<Vec<TcpStream>> {
+    let listener = listener.into_std()?;
+    let mut streams = Vec::new();
+    // The listener does not block; an error ends the queue as well.
+    while let Ok((stream, _)) = listener.accept() {
+        stream.set_nonblocking(true)?;
+        streams.push(TcpStream::from_std(stream)?);
+    }
+    Ok(streams)
+}
+
+/// Serves one caller's connection until it ends, or until a head takes longer than the limit; the
+/// closing phase shuts it down gracefully.
 async fn serve_connection<F: ServerFormat>(
     stream: TcpStream,
     traffic: Rc<TrafficServer<F>>,
@@ -76,31 +107,112 @@
     // A failure only makes answers slightly later.
     let _ = stream.set_nodelay(true);
     let limits = traffic.limits();
-    let handler_phase = phase.clone();
-    let service = service_fn(move |request| {
-        let (traffic, phase) = (traffic.clone(), handler_phase.clone());
-        async move { Ok::<_, Infallible>(handle_request(request, traffic, phase).await) }
-    });
+    let progress = Rc::new(HeadProgress::default());
+    let service = {
+        let (phase, progress) = (phase.clone(), progress.clone());
+        service_fn(move |request| {
+            let (traffic, phase, progress) = (traffic.clone(), phase.clone(), progress.clone());
+            progress.note_head_complete();
+            async move {
+                let response = handle_request(request, traffic, phase).await;
+                progress.note_answered();
+                Ok::<_, Infallible>(response)
+            }
+        })
+    };
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout + IDLE_MARGIN)
         .max_buf_size(limits.max_head_bytes.max(MIN_BUFFER_BYTES))
         .auto_date_header(false);
-    let connection = builder.serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
+    let stream = TokioIo::new(ObservedStream::new(stream, progress.clone()));
+    let mut connection = std::pin::pin!(builder.serve_connection(stream, service));
+    let mut head_timeout = std::pin::pin!(progress.head_timeout(limits.head_timeout));
+    // Polls the connection first, so that a request that has arrived is read before it is closed.
+    // Disconnects aren't logged here: each request logs its own outcome.
     tokio::select! {
-        // Disconnects aren't logged here: each request logs its own outcome.
+        biased;
         _ = connection.as_mut() => return,
+        () = head_timeout.as_mut() => return,
         _ = phase.wait_for(|it| *it == ShutdownPhase::Closing) => (),
     }
+    // `graceful_shutdown` closes a connection that has read nothing yet.
+    if !progress.has_read() {
+        tokio::select! {
+            biased;
+            _ = connection.as_mut() => return,
+            () = progress.first_read.notified() => (),
+            () = sleep(FIRST_REQUEST_WAIT) => (),
+        }
+    }
     connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
+    tokio::select! {
+        biased;
+        _ = connection => (),
+        () = head_timeout => (),
+    }
+}
+
+/// Longest wait during shutdown for the first request on a new connection.
+const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(500);
+
+/// Whether a connection is waiting for a request, receiving its head or answering it.
+#[derive(Debug, Default)]
+struct HeadProgress {
+    has_read: Cell<bool>,
+    is_answering: Cell<bool>,
+    /// When the first byte of a head arrived that is not complete yet.
+    head_started: Cell<Option<Instant>>,
+    first_read: Notify,
+    changed: Notify,
+}
+
+impl HeadProgress {
+    fn has_read(&self) -> bool {
+        self.has_read.get()
+    }
+
+    fn note_head_complete(&self) {
+        self.is_answering.set(true);
+        self.head_started.set(None);
+    }
+
+    fn note_answered(&self) {
+        self.is_answering.set(false);
+    }
+
+    /// Returns once a head has been incomplete for `limit`.
+    async fn head_timeout(&self, limit: Duration) {
+        loop {
+            match self.head_started.get() {
+                None => self.changed.notified().await,
+                Some(started) if started.elapsed() >= limit => return,
+                Some(started) => sleep(limit.saturating_sub(started.elapsed())).await,
+            }
+        }
+    }
+}
+
+impl ReadObserver for Rc<HeadProgress> {
+    fn note_read(&mut self, _n_bytes: usize) -> io::Result<()> {
+        if !self.has_read.replace(true) {
+            self.first_read.notify_one();
+        }
+        if !self.is_answering.get() && self.head_started.get().is_none() {
+            self.head_started.set(Some(Instant::now()));
+            self.changed.notify_one();
+        }
+        Ok(())
+    }
 }
 
 /// Smallest buffer size that `hyper` accepts; it panics on less.
 const MIN_BUFFER_BYTES: usize = 8_192;
 
+/// Time for a body, as a multiple of the time for a head: the operators set no limit for it.
+const BODY_TIMEOUT_HEADS: u32 = 2;
+
 /// Reads the body, routes the request, and closes the connection after the answer during shutdown.
 async fn handle_request<F: ServerFormat>(
     request: Request<Incoming>,
@@ -111,23 +223,24 @@
     let limits = traffic.limits();
     let (head, body) = request.into_parts();
     let body = Limited::new(body, limits.max_body_bytes).collect();
-    let mut response = match tokio::time::timeout(limits.head_timeout * 2, body).await {
-        Ok(Ok(body)) => {
-            let request = CallerRequest {
-                method: head.method,
-                uri: head.uri,
-                headers: head.headers,
-                body: body.to_bytes(),
-                arrived,
-            };
-            traffic.serve(request).await
-        }
-        Ok(Err(err)) if err.is::<http_body_util::LengthLimitError>() => {
-            local_answer(StatusCode::PAYLOAD_TOO_LARGE)
-        }
-        Ok(Err(_)) => local_answer(StatusCode::BAD_REQUEST),
-        Err(_) => local_answer(StatusCode::REQUEST_TIMEOUT),
-    };
+    let mut response =
+        match tokio::time::timeout(limits.head_timeout * BODY_TIMEOUT_HEADS, body).await {
+            Ok(Ok(body)) => {
+                let request = CallerRequest {
+                    method: head.method,
+                    uri: head.uri,
+                    headers: head.headers,
+                    body: body.to_bytes(),
+                    arrived,
+                };
+                traffic.serve(request).await
+            }
+            Ok(Err(err)) if err.is::<http_body_util::LengthLimitError>() => {
+                local_answer(StatusCode::PAYLOAD_TOO_LARGE)
+            }
+            Ok(Err(_)) => local_answer(StatusCode::BAD_REQUEST),
+            Err(_) => local_answer(StatusCode::REQUEST_TIMEOUT),
+        };
     if *phase.borrow() != ShutdownPhase::Serving {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -11,6 +11,7 @@
 mod datagrams;
 mod http_server;
 mod metrics;
+mod observed_stream;
 mod orders;
 mod plan;
 mod ports;
@@ -26,8 +27,14 @@
 
 pub use assigner::{AssignerParts, KeyAssigner, KeyedLoads, SharedLoads};
 pub use change_relay::{ChangeSource, SourceSelector};
-pub use connections::{ConnectionPool, ExchangeError, HttpAnswer, HttpConnection};
-pub use datagrams::{AckedRange, PeerDatagram, RouterLoad, ShardUpdate};
+pub use connections::{
+    ConnectionNumber, ConnectionPool, ExchangeError, HttpAnswer, HttpConnection,
+};
+pub use datagrams::{
+    AckedRange, OversizedDatagram, PeerDatagram, RouterLoad, ShardUpdate, decode_datagram,
+    encode_datagrams,
+};
+pub use http_server::{ShutdownPhase, serve_callers};
 pub use metrics::EntryMetrics;
 pub use plan::{CallerLimits, PlanRoute, RoutePlan, RouteTarget, ServiceSettings};
 pub use ports::{
@@ -36,7 +43,7 @@
 };
 pub use run::{SettingsSource, run_entry, run_entry_until};
 pub use server_reports::{OutgoingReports, ReportBatch, ReportCache, ServerReport};
-pub use settings_file::{EntrySettings, RawEntrySettings, RetryBounds};
+pub use settings_file::{AnswerLimits, EntrySettings, RawEntrySettings, RetryBounds};
 pub use snapshot::{
     AssignerRecord, CachedServer, StateSnapshot, StoredAssigner, StoredShards, VmPresence,
 };
--- a/crates/entry/src/orders.rs
+++ b/crates/entry/src/orders.rs
@@ -34,6 +34,15 @@
     LineLost,
 }
 
+impl From<ExchangeError> for OrderOutcome {
+    fn from(err: ExchangeError) -> Self {
+        match err {
+            ExchangeError::Broken(err) | ExchangeError::TooLong(err) => Self::Silent(err),
+            ExchangeError::Refused(err) | ExchangeError::NotConnected(err) => Self::NotSent(err),
+        }
+    }
+}
+
 /// Sends orders; keeps one connection to each instance of a server.
 ///
 /// A grant that repeats a token is sent only on a connection on which that instance has answered
@@ -42,6 +51,8 @@
 pub struct OrderSender<F> {
     format: F,
     clock: ProcessClock,
+    /// Largest answer in bytes.
+    max_answer_bytes: usize,
     connections: Rc<RefCell<BTreeMap<ServerInstance, HttpConnection>>>,
 }
 
@@ -55,9 +66,10 @@
 }
 
 impl<F: ServerFormat> OrderSender<F> {
-    /// Creates a sender without open connections.
-    pub fn new(format: F, clock: ProcessClock) -> Self {
-        Self { format, clock, connections: Rc::default() }
+    /// Creates a sender without open connections, to which servers may answer with
+    /// `max_answer_bytes` for each order.
+    pub fn new(format: F, clock: ProcessClock, max_answer_bytes: usize) -> Self {
+        Self { format, clock, max_answer_bytes, connections: Rc::default() }
     }
 
     /// Grants `range` to `instance`; calls `on_send` just before sending the order.
@@ -78,7 +90,9 @@
         let connection = match (pooled, kind) {
             (Some(it), _) => Ok(it),
             (None, GrantKind::Renewal) => return OrderOutcome::LineLost,
-            (None, GrantKind::First) => HttpConnection::open(instance.address).await,
+            (None, GrantKind::First) => {
+                HttpConnection::open(instance.address, self.max_answer_bytes).await
+            }
         };
         let request = self.request(instance, self.format.grant(range, token, hold, handover));
         if connection.is_ok() {
@@ -95,12 +109,11 @@
         token: u64,
         max_wait: Duration,
     ) -> OrderOutcome {
-        let connection = HttpConnection::open(instance.address).await;
+        let connection = HttpConnection::open(instance.address, self.max_answer_bytes).await;
         let request = self.request(instance, self.format.release(range, token));
-        let res = self.exchange(connection, request, max_wait).await;
-        match res {
+        match self.exchange(connection, request, max_wait).await {
             Ok((answer, _)) => self.outcome(instance, &answer),
-            Err(err) => OrderOutcome::Silent(err.error().clone()),
+            Err(err) => err.into(),
         }
     }
 
@@ -120,8 +133,7 @@
                 }
                 self.outcome(instance, &answer)
             }
-            Err(ExchangeError::Broken(err)) => OrderOutcome::Silent(err),
-            Err(err) => OrderOutcome::NotSent(err.error().clone()),
+            Err(err) => err.into(),
         }
     }
 
--- a/crates/entry/src/presence.rs
+++ b/crates/entry/src/presence.rs
@@ -24,7 +24,18 @@
 /// Timeout of a call to the store.
 const STORE_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// Maintains the record until `stop` becomes true, then ends its lease.
+/// How far this VM's record has been written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum PresenceState {
+    /// There is no lease.
+    Absent,
+    /// The lease is open; the record may have been written.
+    Leased(LeaseId),
+    /// The record has been written under the lease.
+    Announced(LeaseId),
+}
+
+/// Maintains the record until `stop` becomes true or its sender is gone, then ends its lease.
 pub async fn maintain_presence<S: StateStore>(
     store: S,
     vm: model::VmName,
@@ -32,22 +43,23 @@
     mut stop: watch::Receiver<bool>,
     log: Logger,
 ) {
-    let mut lease: Option<LeaseId> = None;
-    while !*stop.borrow() {
-        let res = match lease {
-            Some(it) => store.renew_lease(it, STORE_TIMEOUT).await.map(|()| it),
-            None => announce(&store, &vm, &presence).await,
-        };
-        let delay = match res {
-            Ok(it) => {
-                if lease.is_none() {
-                    info!(log, "presence-announced"; "lease" => it.0);
+    let mut state = PresenceState::Absent;
+    loop {
+        let delay = match advance(&store, &vm, &presence, state).await {
+            Ok(next) => {
+                let was_announced = matches!(state, PresenceState::Announced(_));
+                state = next;
+                match state {
+                    PresenceState::Announced(_) if was_announced => RENEWAL_INTERVAL,
+                    PresenceState::Announced(lease) => {
+                        info!(log, "presence-announced"; "lease" => lease.0);
+                        RENEWAL_INTERVAL
+                    }
+                    PresenceState::Leased(_) | PresenceState::Absent => Duration::ZERO,
                 }
-                lease = Some(it);
-                RENEWAL_INTERVAL
             }
             Err(StoreError::LeaseEnded) => {
-                lease = None;
+                state = PresenceState::Absent;
                 Duration::ZERO
             }
             Err(err) => {
@@ -56,28 +68,40 @@
             }
         };
         tokio::select! {
+            biased;
+            _ = stop.wait_for(|it| *it) => break,
             () = sleep(delay) => (),
-            _ = stop.changed() => (),
         }
     }
-    if let Some(lease) = lease {
+    if let PresenceState::Leased(lease) | PresenceState::Announced(lease) = state {
         let res = store.end_lease(lease, STORE_TIMEOUT).await;
         info!(log, "presence-ended"; "is_lease_ended" => res.is_ok());
     }
 }
 
-async fn announce<S: StateStore>(
+/// Makes the call that follows from `state`, and returns the state after it.
+async fn advance<S: StateStore>(
     store: &S,
     vm: &model::VmName,
     presence: &VmPresence,
-) -> Result<LeaseId, StoreError> {
-    let lease = store.open_lease(LEASE_LENGTH, STORE_TIMEOUT).await?;
-    let name = format!("{VM_PREFIX}{vm}");
-    let change = RecordChange {
-        expected: Vec::new(),
-        writes: vec![(name, encode_record(presence), Some(lease))],
-        removals: Vec::new(),
-    };
-    store.change(change, STORE_TIMEOUT).await?;
-    Ok(lease)
+    state: PresenceState,
+) -> Result<PresenceState, StoreError> {
+    match state {
+        PresenceState::Absent => {
+            store.open_lease(LEASE_LENGTH, STORE_TIMEOUT).await.map(PresenceState::Leased)
+        }
+        PresenceState::Leased(lease) => {
+            let name = format!("{VM_PREFIX}{vm}");
+            let change = RecordChange {
+                expected: Vec::new(),
+                writes: vec![(name, encode_record(presence), Some(lease))],
+                removals: Vec::new(),
+            };
+            store.change(change, STORE_TIMEOUT).await?;
+            Ok(PresenceState::Announced(lease))
+        }
+        PresenceState::Announced(lease) => {
+            store.renew_lease(lease, STORE_TIMEOUT).await.map(|()| PresenceState::Announced(lease))
+        }
+    }
 }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -1,6 +1,6 @@
 //! Runs the entry process: a control thread and a traffic thread.
 
-use std::{cell::RefCell, collections::BTreeSet, rc::Rc, sync::Arc, thread, time::Duration};
+use std::{cell::RefCell, collections::BTreeSet, rc::Rc, thread, time::Duration};
 
 use eyre::WrapErr;
 use http::StatusCode;
@@ -25,7 +25,7 @@
     change_relay::{RelayLog, SourceSelector},
     datagrams::{
         DATAGRAM_BUFFER_BYTES, PeerDatagram, ROUTER_LOAD_INTERVAL, RouterLoad, bind_socket,
-        decode_datagram, encode_datagram,
+        decode_datagram, encode_datagrams,
     },
     http_server::{ShutdownPhase, serve_callers, serve_texts},
     presence::maintain_presence,
@@ -37,8 +37,9 @@
 /// Time after SIGTERM by which the load balancer has stopped opening new connections.
 const BALANCER_DRAIN_TIME: Duration = Duration::from_millis(2_600);
 
-/// Time before the kill deadline at which the process exits by itself.
-const GRACE_MARGIN: Duration = Duration::from_millis(250);
+/// Time before the kill deadline at which the process exits by itself; a VM with a tenth of a core
+/// may need most of it to run the last steps.
+const GRACE_MARGIN: Duration = Duration::from_millis(600);
 
 /// Interval between sweeps of unusable connections and removed servers.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(1_000);
@@ -183,6 +184,7 @@
             server_reports.clone(),
             channel.clone(),
             clock,
+            log.clone(),
         ));
         tokio::task::spawn_local(receive_datagrams(
             settings.clone(),
@@ -284,11 +286,9 @@
     server_reports: ReportCache,
     channel: SnapshotChannel,
     clock: ProcessClock,
+    log: Logger,
 ) {
-    let from = std::net::SocketAddr::new(settings.reports.ip(), 0);
-    let Ok(socket) = UdpSocket::bind(from).await else {
-        return;
-    };
+    let socket = bind_sender(&settings, &log).await;
     loop {
         sleep(SERVER_REPORT_INTERVAL).await;
         let outgoing = server_reports.take_outgoing(clock.now());
@@ -317,12 +317,14 @@
                 continue;
             }
             let batch = ReportBatch { domain: settings.domain.clone(), server_reports };
-            let Some(bytes) = encode_datagram(PeerDatagram::ServerReports(batch)) else {
-                continue;
-            };
+            // Batches can always be divided.
+            let datagrams =
+                encode_datagrams(PeerDatagram::ServerReports(batch)).unwrap_or_default();
             for target in targets {
-                // The next batch makes up for a lost datagram.
-                let _ = socket.send_to(&bytes, target).await;
+                for bytes in &datagrams {
+                    // The next batch makes up for a lost datagram.
+                    let _ = socket.send_to(bytes, target).await;
+                }
             }
         }
     }
@@ -427,7 +429,13 @@
     };
     let listener = settings::bind_listener(settings.metrics, "listen-metrics").await?;
     tokio::task::spawn_local(serve_texts(listener, Rc::new(operator_page), log.clone()));
-    tokio::task::spawn_local(send_reports(traffic.clone(), channel, settings.clone()));
+    tokio::task::spawn_local(sweep_regularly(traffic.clone()));
+    tokio::task::spawn_local(send_router_loads(
+        traffic.clone(),
+        channel,
+        settings.clone(),
+        log.clone(),
+    ));
     stop_request.await?;
     info!(log, "stopping"; "open_requests" => traffic.n_open(),
         "connections" => *n_connections.borrow());
@@ -445,30 +453,50 @@
     Ok(())
 }
 
-/// Sends load reports to the assigner and sweeps connections.
-async fn send_reports<F: ServerFormat>(
+/// Drops what is no longer needed, such as connections that can't be used any more.
+async fn sweep_regularly<F: ServerFormat>(traffic: Rc<TrafficServer<F>>) {
+    loop {
+        sleep(SWEEP_INTERVAL).await;
+        traffic.sweep();
+    }
+}
+
+/// Sends the load of this router to the assigner.
+async fn send_router_loads<F: ServerFormat>(
     traffic: Rc<TrafficServer<F>>,
     channel: SnapshotChannel,
     settings: EntrySettings,
+    log: Logger,
 ) {
-    let from = std::net::SocketAddr::new(settings.reports.ip(), 0);
-    let Ok(socket) = UdpSocket::bind(from).await.map(Arc::new) else {
-        return;
-    };
-    let mut n_rounds: u32 = 0;
+    let socket = bind_sender(&settings, &log).await;
     loop {
         sleep(ROUTER_LOAD_INTERVAL).await;
-        n_rounds += 1;
-        if u128::from(n_rounds) * ROUTER_LOAD_INTERVAL.as_millis() >= SWEEP_INTERVAL.as_millis() {
-            traffic.sweep();
-            n_rounds = 0;
-        }
         let load = traffic.take_router_load();
-        let assigner = channel.current().assigner.as_ref().map(|it| it.record.reports);
-        if let (Some(assigner), Some(bytes)) = (assigner, encode_datagram(PeerDatagram::Load(load)))
-        {
+        let Some(assigner) = channel.current().assigner.as_ref().map(|it| it.record.reports) else {
+            continue;
+        };
+        if load.is_empty() {
+            continue;
+        }
+        // Loads can always be divided.
+        for bytes in encode_datagrams(PeerDatagram::Load(load)).unwrap_or_default() {
             // The next report makes up for a lost one.
             let _ = socket.send_to(&bytes, assigner).await;
         }
     }
 }
+
+/// Binds a socket for outgoing datagrams; tries again until it succeeds.
+async fn bind_sender(settings: &EntrySettings, log: &Logger) -> UdpSocket {
+    let address = std::net::SocketAddr::new(settings.reports.ip(), 0);
+    loop {
+        match bind_socket(address).await {
+            Ok(socket) => return socket,
+            Err(err) => warn!(log, "datagram-bind-failed"; "address" => %address, "cause" => %err),
+        }
+        sleep(BIND_RETRY_DELAY).await;
+    }
+}
+
+/// Delay before another attempt to bind a socket.
+const BIND_RETRY_DELAY: Duration = Duration::from_millis(1_000);
--- a/crates/entry/src/server_reports.rs
+++ b/crates/entry/src/server_reports.rs
@@ -26,9 +26,6 @@
 /// report arrives by two paths.
 const MIN_AGE_DIFFERENCE: Duration = Duration::from_millis(25);
 
-/// Most reports in one batch.
-const MAX_BATCH_REPORTS: usize = 1_000;
-
 /// One server's load report as it is sent between VMs; counts saturate at their type's maximum.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerReport {
@@ -135,8 +132,6 @@
             }
             outgoing.domain.push(server_report);
         }
-        outgoing.domain.truncate(MAX_BATCH_REPORTS);
-        outgoing.others.truncate(MAX_BATCH_REPORTS);
         outgoing
     }
 }
--- a/crates/entry/src/settings_file.rs
+++ b/crates/entry/src/settings_file.rs
@@ -31,6 +31,15 @@
     grace: String,
     /// Time for which a draining server still accepts new work.
     drain: String,
+    /// Largest answer of a server to a caller's request, in bytes.
+    #[serde(default = "default_max_answer_bytes")]
+    max_answer_bytes: usize,
+    /// Largest answer of a server to a grant or release, in bytes.
+    #[serde(default = "default_max_order_answer_bytes")]
+    max_order_answer_bytes: usize,
+    /// Largest answer of the store, in bytes.
+    #[serde(default = "default_max_store_answer_bytes")]
+    max_store_answer_bytes: usize,
     /// Log level: error, warning, info or debug.
     #[serde(default = "default_level")]
     log_level: String,
@@ -40,6 +49,18 @@
     "info".to_owned()
 }
 
+fn default_max_answer_bytes() -> usize {
+    8 * 1024 * 1024
+}
+
+fn default_max_order_answer_bytes() -> usize {
+    64 * 1024
+}
+
+fn default_max_store_answer_bytes() -> usize {
+    32 * 1024 * 1024
+}
+
 /// Validated settings of an entry process.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EntrySettings {
@@ -69,10 +90,23 @@
     pub grace: Duration,
     /// Time for which a draining server still accepts new work.
     pub drain: Duration,
+    /// Limits on the answers that the process receives.
+    pub answer_limits: AnswerLimits,
     /// Minimum level of logged events.
     pub log_level: slog::Level,
 }
 
+/// Largest answers in bytes, heads included. A connection on which more arrives is closed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AnswerLimits {
+    /// Of a server to a caller's request.
+    pub server: usize,
+    /// Of a server to a grant or release.
+    pub order: usize,
+    /// Of the store.
+    pub store: usize,
+}
+
 /// Limits on retries, over all VMs.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetryBounds {
@@ -121,6 +155,11 @@
             max_hold,
             grace: duration("grace", &raw.grace)?,
             drain: duration("drain", &raw.drain)?,
+            answer_limits: AnswerLimits {
+                server: answer_bytes("max_answer_bytes", raw.max_answer_bytes)?,
+                order: answer_bytes("max_order_answer_bytes", raw.max_order_answer_bytes)?,
+                store: answer_bytes("max_store_answer_bytes", raw.max_store_answer_bytes)?,
+            },
             log_level: level.map_err(|()| {
                 SettingError::new("log_level", &raw.log_level, "error, warning, info or debug")
             })?,
@@ -131,6 +170,16 @@
 /// Minimum value of `max_hold`, which leaves time to renew a grant.
 const MIN_MAX_HOLD: Duration = Duration::from_millis(1_000);
 
+/// Minimum value of the answer limits, which fits any head.
+const MIN_ANSWER_BYTES: usize = 1_024;
+
+fn answer_bytes(field: &str, n_bytes: usize) -> Result<usize, SettingError> {
+    match n_bytes {
+        MIN_ANSWER_BYTES.. => Ok(n_bytes),
+        _ => Err(SettingError::new(field, n_bytes, format!("{MIN_ANSWER_BYTES} bytes or more"))),
+    }
+}
+
 fn address(field: &str, text: &str) -> Result<SocketAddr, SettingError> {
     text.parse().map_err(|_| SettingError::new(field, text, "ADDRESS:PORT"))
 }
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -33,7 +33,7 @@
     pub shards: BTreeMap<ServiceName, StoredShards>,
     /// Current assigner, or one that has resigned; `None` if there is no record of either.
     pub assigner: Option<StoredAssigner>,
-    /// Revision of the assigner's record; 0 if there is none.
+    /// Revision of the last change of the assigner's record, its removal included.
     pub assigner_revision: u64,
     /// Entry VMs whose presence record exists.
     pub vms: Arc<BTreeMap<VmName, VmPresence>>,
--- a/crates/entry/src/state_cache.rs
+++ b/crates/entry/src/state_cache.rs
@@ -286,9 +286,13 @@
         if revision < self.snapshot.assigner_revision {
             return false;
         }
-        let record = value.and_then(|it| decode_record(ASSIGNER_RECORD, &it, &self.log));
-        let assigner = record.map(|record| StoredAssigner { revision, record });
-        self.snapshot.assigner_revision = assigner.as_ref().map_or(0, |it| it.revision);
+        let assigner = match value.map(|it| decode_record(ASSIGNER_RECORD, &it, &self.log)) {
+            None => None,
+            Some(Some(record)) => Some(StoredAssigner { revision, record }),
+            // What can't be read says nothing about who holds the lease.
+            Some(None) => return false,
+        };
+        self.snapshot.assigner_revision = revision;
         let is_changed = assigner != self.snapshot.assigner;
         self.snapshot.assigner = assigner;
         is_changed
@@ -324,13 +328,16 @@
         let Ok(vm) = VmName::try_from(vm) else {
             return false;
         };
-        match value.and_then(|it| decode_record(name, &it, &self.log)) {
-            Some(presence) => {
-                let is_changed = self.snapshot.vms.get(&vm) != Some(&presence);
-                Arc::make_mut(&mut self.snapshot.vms).insert(vm, presence);
+        let vms = Arc::make_mut(&mut self.snapshot.vms);
+        match value.map(|it| decode_record(name, &it, &self.log)) {
+            None => vms.remove(&vm).is_some(),
+            Some(Some(presence)) => {
+                let is_changed = vms.get(&vm) != Some(&presence);
+                vms.insert(vm, presence);
                 is_changed
             }
-            None => Arc::make_mut(&mut self.snapshot.vms).remove(&vm).is_some(),
+            // Its lease, not this process, decides whether the VM is gone.
+            Some(None) => false,
         }
     }
 
--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -21,8 +21,9 @@
 use tokio::time::timeout;
 
 use crate::{
-    CachedServer, ConnectionPool, EntryMetrics, EntrySettings, ExchangeError, HttpAnswer,
-    HttpConnection, PlanRoute, ReportCache, ServerFormat, SnapshotChannel, StateSnapshot,
+    CachedServer, ConnectionNumber, ConnectionPool, EntryMetrics, EntrySettings, ExchangeError,
+    HttpAnswer, HttpConnection, PlanRoute, ReportCache, ServerFormat, SnapshotChannel,
+    StateSnapshot,
     datagrams::RouterLoad,
     stats::{ServerStats, ServiceStats},
 };
@@ -72,7 +73,7 @@
 
 /// A request in flight and its attempts so far.
 struct RequestState {
-    /// Value of the caller's request id header, or `-`.
+    /// Value of the caller's request id header.
     id: HeaderValue,
     service: ServiceName,
     route: Arc<PlanRoute>,
@@ -83,6 +84,8 @@
     /// Servers that the choice for a shared service skips.
     tried: SmallVec<[ServerName; 2]>,
     n_sends: u32,
+    /// Connections that carried an attempt; no later attempt uses them.
+    connections: SmallVec<[ConnectionNumber; 2]>,
     /// Last attempt that the server may have run, with its answer if there was one.
     unknown_outcome: Option<(UnknownReason, Option<HttpAnswer>)>,
 }
@@ -186,8 +189,11 @@
     pub async fn serve(self: Rc<Self>, request: CallerRequest) -> CallerAnswer {
         let _in_flight = InFlightGuard::new(self.clone());
         let names = self.format.headers();
-        let id = request.headers.get(&names.request_id).cloned();
-        let id = id.unwrap_or(HeaderValue::from_static("-"));
+        let Some(id) = request.headers.get(&names.request_id).cloned() else {
+            // Without an id, a late answer to another request could not be told apart.
+            let id = HeaderValue::from_static("-");
+            return self.refuse_unrouted(&id, StatusCode::BAD_REQUEST, "no-request-id");
+        };
         let snapshot = self.channel.current();
         let Some(plan) = &snapshot.plan else {
             return self.refuse_unrouted(&id, StatusCode::SERVICE_UNAVAILABLE, "no-plan");
@@ -221,6 +227,7 @@
             route,
             tried: SmallVec::new(),
             n_sends: 0,
+            connections: SmallVec::new(),
             unknown_outcome: None,
         };
         if let Some(key) = key {
@@ -396,6 +403,7 @@
     pub fn take_router_load(&self) -> RouterLoad {
         let snapshot = self.channel.current();
         let mut state = self.state.borrow_mut();
+        let state = &mut *state;
         let key_counts = std::mem::take(&mut state.key_counts);
         let keys = key_counts
             .into_iter()
@@ -404,8 +412,8 @@
         let mut work = Vec::new();
         for service in snapshot.keyed_services() {
             for name in snapshot.by_service.get(&service).into_iter().flatten() {
-                let seconds =
-                    state.server_stats.get(name).and_then(|it| it.estimator.work_seconds());
+                let stats = state.server_stats.get_mut(name);
+                let seconds = stats.and_then(|it| it.estimator.work_seconds());
                 work.extend(seconds.map(|it| (name.clone(), (it * 1_000.0) as u32)));
             }
         }
--- a/crates/entry/src/traffic/exchange.rs
+++ b/crates/entry/src/traffic/exchange.rs
@@ -1,5 +1,7 @@
 //! One attempt at one server, and the classification of its answer.
 
+use std::net::SocketAddr;
+
 use super::*;
 
 /// Time past the deadline for which an answer that is on its way is still awaited.
@@ -63,6 +65,10 @@
                 let outcome = SendOutcome::Failed(UnknownReason::DeadlinePassed, None);
                 (CallEnd::Abandoned(age), "no-answer", None, outcome)
             }
+            Err(SendError::Broken { error: error @ ExchangeError::TooLong(_), .. }) => {
+                let outcome = SendOutcome::Failed(UnknownReason::AnswerCut, None);
+                (CallEnd::Failed, "answer-too-long", Some(error), outcome)
+            }
             Err(SendError::Broken { error, is_fresh }) => {
                 let label = if is_fresh { "broken" } else { "broken-reused" };
                 let outcome = SendOutcome::Failed(UnknownReason::ConnectionLost, None);
@@ -83,14 +89,17 @@
         server: &CachedServer,
     ) -> Result<(HttpAnswer, HttpConnection), SendError> {
         let address = server.entry.address;
-        let pooled = self.state.borrow_mut().pool.take(address, self.clock.now());
+        // A second copy of an earlier attempt's answer would carry the same id.
+        let pooled =
+            self.state.borrow_mut().pool.take(address, &request.connections, self.clock.now());
         let mut is_fresh = pooled.is_none();
         let mut connection = match pooled {
             Some(it) => it,
-            None => HttpConnection::open(address).await.map_err(SendError::NotConnected)?,
+            None => self.connect(address).await?,
         };
         request.n_sends += 1;
         loop {
+            request.connections.push(connection.number());
             let time_left = request.time_left(self.clock.now());
             let outgoing = self.build_request(request, original, server, time_left);
             let clock = self.clock;
@@ -106,11 +115,16 @@
                 }
             }
             // A new connection shows whether the server is still listening.
-            connection = HttpConnection::open(address).await.map_err(SendError::NotConnected)?;
+            connection = self.connect(address).await?;
             is_fresh = true;
         }
     }
 
+    async fn connect(&self, address: SocketAddr) -> Result<HttpConnection, SendError> {
+        let max_answer_bytes = self.settings.load().answer_limits.server;
+        HttpConnection::open(address, max_answer_bytes).await.map_err(SendError::NotConnected)
+    }
+
     /// Decides whether a server's answer is final and whether the request may be sent again.
     ///
     /// An answer with another id belongs to another request. A success is accepted only with the
--- a/crates/entry/tests/it/connections.rs
+++ b/crates/entry/tests/it/connections.rs
@@ -6,7 +6,15 @@
 use entry::{ExchangeError, HttpConnection};
 use http::Request;
 use model::MonoTime;
-use tokio::{io::AsyncReadExt, net::TcpListener, task::LocalSet, time::timeout};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+    task::LocalSet,
+    time::timeout,
+};
+
+/// Limit on answers; no answer of these tests comes near it unless it says so.
+const MAX_ANSWER_BYTES: usize = 64 * 1024;
 
 /// Guards against late delivery of a cancelled grant: a plain close let the buffered grant arrive
 /// after a partition, so the connection must be reset.
@@ -16,7 +24,8 @@
         .run_until(async {
             let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
             let address = listener.local_addr().expect("address");
-            let mut connection = HttpConnection::open(address).await.expect("open");
+            let mut connection =
+                HttpConnection::open(address, MAX_ANSWER_BYTES).await.expect("open");
             let (mut peer, _) = listener.accept().await.expect("accepted");
             let request = Request::new(Bytes::from_static(b"order").into());
             let exchange = connection.exchange(request, MonoTime::default);
@@ -38,7 +47,8 @@
         .run_until(async {
             let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
             let address = listener.local_addr().expect("address");
-            let mut connection = HttpConnection::open(address).await.expect("open");
+            let mut connection =
+                HttpConnection::open(address, MAX_ANSWER_BYTES).await.expect("open");
             let (peer, _) = listener.accept().await.expect("accepted");
             drop(peer);
             tokio::time::sleep(Duration::from_millis(20)).await;
@@ -48,3 +58,54 @@
         })
         .await;
 }
+
+/// Bytes of resident memory of this process.
+fn resident_bytes() -> usize {
+    let text = std::fs::read_to_string("/proc/self/statm").expect("readable");
+    let pages = text.split(' ').nth(1).and_then(|it| it.parse::<usize>().ok()).expect("a number");
+    pages * 4_096
+}
+
+/// Guards against the end of a VM's memory: an answer without end was collected until its peer
+/// stopped.
+#[tokio::test(flavor = "current_thread")]
+async fn an_answer_without_end_takes_no_more_memory_than_its_limit() {
+    const MAX_GROWTH_BYTES: usize = 16 * 1024 * 1024;
+    let heads: [&[u8]; 3] = [
+        b"HTTP/1.1 200 OK\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 10000000000\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nX-Filler: ",
+    ];
+    for head in heads {
+        LocalSet::new()
+            .run_until(async {
+                let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+                let address = listener.local_addr().expect("address");
+                let sender = tokio::task::spawn_local(async move {
+                    let (mut peer, _) = listener.accept().await.expect("accepted");
+                    let mut n_sent = peer.write(head).await.expect("sent");
+                    let filler = [b'x'; 16 * 1024];
+                    while n_sent < 1024 * 1024 * 1024 {
+                        match peer.write(&filler).await {
+                            Ok(n_bytes) => n_sent += n_bytes,
+                            Err(_) => break,
+                        }
+                    }
+                    n_sent
+                });
+                let before = resident_bytes();
+                let mut connection =
+                    HttpConnection::open(address, MAX_ANSWER_BYTES).await.expect("open");
+                let request = Request::new(Bytes::from_static(b"request").into());
+                let end = connection.exchange(request, MonoTime::default).await;
+                let Err(ExchangeError::TooLong(err)) = end else { panic!("{end:?}") };
+                assert!(err.to_string().contains("bytes received"), "{err}");
+                drop(connection);
+                let n_sent = sender.await.expect("joined");
+                assert!(n_sent < MAX_GROWTH_BYTES, "the peer could send {n_sent} bytes");
+                let growth = resident_bytes().saturating_sub(before);
+                assert!(growth < MAX_GROWTH_BYTES, "memory grew by {growth} bytes");
+            })
+            .await;
+    }
+}
--- a/crates/entry/tests/it/main.rs
+++ b/crates/entry/tests/it/main.rs
@@ -2,4 +2,5 @@
 
 mod change_source;
 mod connections;
+mod datagrams;
 mod state_cache;
--- a/crates/entry/tests/it/state_cache.rs
+++ b/crates/entry/tests/it/state_cache.rs
@@ -182,3 +182,42 @@
     assert_eq!(servers.count(), 1);
     assert_eq!(cache.snapshot().revision, 9);
 }
+
+fn record(name: &str, revision: u64, value: Option<&[u8]>) -> ChangeEvent {
+    let value = value.map(bytes::Bytes::copy_from_slice);
+    ChangeEvent::Record { name: name.to_owned(), revision, value }
+}
+
+fn records(revision: u64, events: Vec<ChangeEvent>) -> ChangeBatch {
+    ChangeBatch { revision, events, ..ChangeBatch::default() }
+}
+
+const ASSIGNER: &[u8] =
+    br#"{"vm":"vm-1","incarnation":3,"reports":"127.0.0.1:1","has_resigned":false}"#;
+const PRESENCE: &[u8] = br#"{"domain":"west-a","strength":500,"reports":"127.0.0.1:1","news":"127.0.0.1:2","incarnation":3}"#;
+
+/// Guards against giving up a living assigner or VM because one of its records can't be read, as
+/// after a newer version wrote it.
+#[test]
+fn an_unreadable_record_removes_neither_assigner_nor_vm() {
+    let mut cache = cache();
+    let written = vec![record("assigner", 4, Some(ASSIGNER)), record("vm/vm-1", 5, Some(PRESENCE))];
+    cache.apply_changes(records(5, written), at(0));
+    assert!(cache.snapshot().assigner.is_some());
+    assert_eq!(cache.snapshot().vms.len(), 1);
+    let unreadable = vec![record("assigner", 6, Some(b"{")), record("vm/vm-1", 7, Some(b"{"))];
+    cache.apply_changes(records(7, unreadable), at(10));
+    assert!(cache.snapshot().assigner.is_some());
+    assert_eq!(cache.snapshot().vms.len(), 1);
+}
+
+/// Guards against taking a VM for the assigner again after its lease has ended, because a slower
+/// source delivers its old record once more.
+#[test]
+fn an_assigner_whose_record_was_removed_is_not_restored_by_an_older_change() {
+    let mut cache = cache();
+    cache.apply_changes(records(4, vec![record("assigner", 4, Some(ASSIGNER))]), at(0));
+    cache.apply_changes(records(9, vec![record("assigner", 9, None)]), at(10));
+    cache.apply_changes(records(9, vec![record("assigner", 4, Some(ASSIGNER))]), at(20));
+    assert_eq!(cache.snapshot().assigner, None);
+}
