entry: take the complete state of a starting VM from its domain's relay

Each of 295 restarted processes read the complete state from the store, about 1 MB (1,048 routes, 900 servers, a thousand shard entries): 2.4 s of the store's link at best. Change: a starting process first reads the VMs' records (75 KB), and takes the complete state from its relay, for which it waits up to 1.5 s, as the relay starts too. Only the relays, and a VM that is not listed, read everything. Ruled out: a slow start of the processes themselves (started and announced within 0.6 s).

--- a/crates/entry/src/change_relay.rs
+++ b/crates/entry/src/change_relay.rs
@@ -190,10 +190,15 @@
         Self { vm, domain, retry_at: BTreeMap::new(), store_retry_at, is_watcher: true }
     }
 
+    /// Whether the snapshot lists this VM.
+    pub fn is_listed(&self, snapshot: &StateSnapshot) -> bool {
+        snapshot.vms.contains_key(&self.vm)
+    }
+
     /// Selects the source to use now; `None` while all sources are backed off.
     pub fn select(&mut self, snapshot: &StateSnapshot, now: MonoTime) -> Option<ChangeSource> {
         let is_own_turn = store_watchers(snapshot, &self.domain).any(|it| *it == self.vm);
-        let is_known = snapshot.vms.contains_key(&self.vm);
+        let is_known = self.is_listed(snapshot);
         self.is_watcher = is_own_turn || !is_known;
         let own_relay = self.relay(snapshot, &[&self.domain], now);
         let is_store_usable = now >= self.store_retry_at;
--- a/crates/entry/src/ports.rs
+++ b/crates/entry/src/ports.rs
@@ -122,6 +122,13 @@
         timeout: Duration,
     ) -> impl Future<Output = Result<ChangeBatch, StoreError>> + Send;
 
+    /// Reads the entry processes' records whose names begin with `prefix`.
+    fn read_records(
+        &self,
+        prefix: &str,
+        timeout: Duration,
+    ) -> impl Future<Output = Result<ChangeBatch, StoreError>> + Send;
+
     /// Returns the changes after `revision`; waits up to `wait` for the first.
     fn watch(
         &self,
--- a/crates/entry/src/state_sync.rs
+++ b/crates/entry/src/state_sync.rs
@@ -16,7 +16,7 @@
     change_relay::{
         ChangeSource, MAX_RELAY_AGE, RELAY_WAIT, RelayLog, RelayReply, RelayRequest, SourceSelector,
     },
-    state_cache::StateCache,
+    state_cache::{StateCache, VM_PREFIX},
 };
 
 /// Wait time of one watch; no answer within this plus `ANSWER_TIMEOUT` is a failure.
@@ -37,9 +37,20 @@
 /// Time allowed for a relay's answer itself.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Time allowed for a relay's answer with the complete state, which it may send to all VMs of its
+/// domain at once.
+const COMPLETE_RELAY_TIMEOUT: Duration = Duration::from_millis(2_500);
+
 /// Delay after a failed call.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// Time after the start of the process for which it waits for its relay rather than reading the
+/// complete state from the store: a relay that started at the same moment has to read it first.
+const RELAY_START_TIME: Duration = Duration::from_millis(1_500);
+
+/// Longest wait for this VM's own presence record before the complete state is read.
+const ANNOUNCEMENT_TIME: Duration = Duration::from_millis(300);
+
 /// Channel that publishes snapshots to all threads and carries refresh requests back.
 #[derive(Debug, Clone)]
 pub struct SnapshotChannel {
@@ -129,6 +140,8 @@
         let mut source = ChangeSource::Store;
         let mut position = ReadPosition::default();
         let mut is_lost = false;
+        let relay_due_at = self.clock.now() + RELAY_START_TIME;
+        self.read_vms().await;
         loop {
             let called_at = self.clock.now();
             let selected = self.selector.select(self.cache.borrow().snapshot(), called_at);
@@ -166,6 +179,9 @@
                     warn!(self.log, "store-history-compacted"; "after" => position.revision);
                     position.revision = None;
                 }
+                Err(_) if self.is_relay_starting(&source, now, relay_due_at) => {
+                    sleep(RETRY_DELAY).await;
+                }
                 Err(err) => {
                     if !std::mem::replace(&mut is_lost, true) {
                         warn!(self.log, "change-source-lost"; "source" => ?source, "cause" => %err);
@@ -180,6 +196,40 @@
         }
     }
 
+    /// Reads which VMs there are, so that the complete state can be taken from this VM's relay.
+    ///
+    /// Load pattern: all VMs start at the same moment, and the complete state for each of them would
+    /// exceed what the store can send before the calls time out.
+    async fn read_vms(&self) {
+        let give_up_at = self.clock.now() + ANNOUNCEMENT_TIME;
+        loop {
+            let res = self.store.read_records(VM_PREFIX, ANSWER_TIMEOUT).await;
+            let now = self.clock.now();
+            let mut cache = self.cache.borrow_mut();
+            match res {
+                // The records alone are no state that another source could be compared with.
+                Ok(batch) => _ = cache.apply_changes(ChangeBatch { revision: 0, ..batch }, now),
+                Err(err) => warn!(self.log, "vms-not-read"; "cause" => %err),
+            }
+            if self.selector.is_listed(cache.snapshot()) || now >= give_up_at {
+                return;
+            }
+            drop(cache);
+            sleep(RETRY_DELAY).await;
+        }
+    }
+
+    /// Whether this process has just started and its relay may have as well.
+    fn is_relay_starting(
+        &self,
+        source: &ChangeSource,
+        now: MonoTime,
+        relay_due_at: MonoTime,
+    ) -> bool {
+        let is_relay = matches!(source, ChangeSource::Relay(..));
+        is_relay && now < relay_due_at && self.channel.current().plan.is_none()
+    }
+
     async fn read_store(&self, position: &mut ReadPosition) -> Result<SourceBatch, StoreError> {
         let (batch, is_complete) = match position.revision {
             None => (self.store.read_all(ANSWER_TIMEOUT * 2).await?, true),
@@ -221,7 +271,11 @@
     known_revision: u64,
 ) -> Result<SourceBatch, StoreError> {
     let (incarnation, after) = position.relay;
-    let reply = client.call(&RelayRequest { incarnation, after }, RELAY_WAIT + RELAY_TIMEOUT).await;
+    let timeout = match position.relay {
+        (0, 0) => COMPLETE_RELAY_TIMEOUT,
+        _ => RELAY_WAIT + RELAY_TIMEOUT,
+    };
+    let reply = client.call(&RelayRequest { incarnation, after }, timeout).await;
     let refused = |cause: &str| StoreError::Refused(StepError::new("ask-relay", "relay", cause));
     match reply.map_err(StoreError::Unknown)? {
         RelayReply::NotWatching => Err(refused("does not watch the store")),
