entry: give the keys of a silent server back sooner

Two things bind: a release to a silent server blocks for 3 s, so that the end of its grants was noticed up to 3 s late (6.5 s in the test, for grants that end after 5.5 s); and grants must outlast a takeover, which a lease of 3 s made long. Change: a release waits no longer than the grants last; the assigner's lease takes 2 s in place of 3 (renewed every 0.6 s, each attempt bounded by 0.4 s), grants hold 4.2 s in place of 5, moves start 2.2 s after a takeover in place of 3.2. Compile-time checks tie the constants together. Conclusion: the aim of 1 s is bound by the hold, the hold by the time to replace an assigner.

--- a/crates/entry/src/assigner.rs
+++ b/crates/entry/src/assigner.rs
@@ -51,10 +51,21 @@
 
 /// Hold time of grants, for which a server may process requests for the keys without a renewal,
 /// while the store answers.
-const NORMAL_HOLD: Duration = Duration::from_millis(5_000);
+const NORMAL_HOLD: Duration = Duration::from_millis(4_200);
+
+/// Time from the end of a lost assigner's lease until its successor's grants arrive.
+const TAKEOVER_TIME: Duration = Duration::from_millis(700);
+
+const _: () = assert!(
+    NORMAL_HOLD.as_millis()
+        >= RENEW_INTERVAL.as_millis()
+            + campaign::LEASE_LENGTH.as_millis()
+            + TAKEOVER_TIME.as_millis(),
+    "keys stay held while the assigner is replaced"
+);
 
 /// Age of the last lease renewal beyond which grants get the longest allowed hold time.
-const MAX_RENEWAL_AGE: Duration = Duration::from_millis(1_100);
+const MAX_RENEWAL_AGE: Duration = Duration::from_millis(1_050);
 
 /// Minimum time between attempts to send a grant that has not been acknowledged.
 const RETRY_INTERVAL: Duration = Duration::from_millis(250);
--- a/crates/entry/src/assigner/campaign.rs
+++ b/crates/entry/src/assigner/campaign.rs
@@ -3,16 +3,19 @@
 use super::*;
 
 /// Duration of the assigner's lease in the store.
-const LEASE_LENGTH: Duration = Duration::from_millis(3_000);
+pub(super) const LEASE_LENGTH: Duration = Duration::from_millis(2_000);
 
 /// Interval between lease renewals.
-const LEASE_INTERVAL: Duration = Duration::from_millis(700);
+const LEASE_INTERVAL: Duration = Duration::from_millis(600);
+
+/// Timeout of a lease renewal, after which it is tried again.
+const RENEWAL_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Minimum time between attempts at a failing lease renewal.
-const LEASE_RETRY: Duration = Duration::from_millis(250);
+const LEASE_RETRY: Duration = Duration::from_millis(200);
 
 /// Time after the lease is acquired by which a predecessor has certainly stopped sending orders.
-const PREDECESSOR_WAIT: Duration = Duration::from_millis(3_200);
+const PREDECESSOR_WAIT: Duration = Duration::from_millis(2_200);
 
 /// Additional delay per rank before a VM campaigns; VMs are ranked by capacity.
 const CAMPAIGN_STAGGER: Duration = Duration::from_millis(120);
@@ -135,7 +138,7 @@
         let (store, state, log) = (self.store.clone(), self.state.clone(), self.log.clone());
         let sender = self.events.0.clone();
         tokio::task::spawn_local(async move {
-            let res = store.renew_lease(lease.lease, STORE_TIMEOUT).await;
+            let res = store.renew_lease(lease.lease, RENEWAL_TIMEOUT).await;
             let mut state = state.borrow_mut();
             let held = state.lease.as_mut().filter(|it| it.lease == lease.lease);
             match (res, held) {
--- a/crates/entry/src/assigner/order_executor.rs
+++ b/crates/entry/src/assigner/order_executor.rs
@@ -203,7 +203,9 @@
             // Waits for a grant in flight, so that the release does not overtake it.
             let lock = self.state.borrow_mut().grant_lock(instance);
             drop(lock.lock().await);
-            match self.orders.release(instance, range, token, RELEASE_TIMEOUT).await {
+            // A silent server must not delay the end of this wait beyond that of its grants.
+            let max_wait = RELEASE_TIMEOUT.min(grants_end_at.since(self.clock.now()));
+            match self.orders.release(instance, range, token, max_wait).await {
                 OrderOutcome::Done(handover) => {
                     let now = self.clock.now();
                     // An unanswered grant may still reach the server after the release.
@@ -221,7 +223,7 @@
                 }
                 _ => (),
             }
-            sleep(ORDER_RETRY_DELAY).await;
+            sleep(ORDER_RETRY_DELAY.min(grants_end_at.since(self.clock.now()))).await;
         }
     }
 }
--- a/crates/entry/src/assigner/order_state.rs
+++ b/crates/entry/src/assigner/order_state.rs
@@ -3,7 +3,9 @@
 use super::*;
 
 /// Time for which the lease is certainly held, counted from when its last renewal was sent.
-const LEASE_VALIDITY: Duration = Duration::from_millis(2_700);
+const LEASE_VALIDITY: Duration = Duration::from_millis(1_750);
+
+const _: () = assert!(LEASE_VALIDITY.as_millis() < campaign::LEASE_LENGTH.as_millis());
 
 /// Number of acknowledged grants from which outdated entries are pruned.
 const MAX_KEPT_GRANTS: usize = 2_048;
