--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -413,7 +413,7 @@
         for service in snapshot.keyed_services() {
             for name in snapshot.by_service.get(&service).into_iter().flatten() {
                 let stats = state.server_stats.get_mut(name);
-                let seconds = stats.and_then(|it| it.estimator.work_seconds());
+                let seconds = stats.and_then(|it| it.estimator.take_updated_work());
                 work.extend(seconds.map(|it| (name.clone(), (it * 1_000.0) as u32)));
             }
         }
--- a/crates/policy/src/load_estimator.rs
+++ b/crates/policy/src/load_estimator.rs
@@ -66,6 +66,8 @@
     /// Send times of recent calls that the report doesn't count.
     sent_since: SmallVec<[MonoTime; 8]>,
     work_seconds: Option<f64>,
+    /// Whether `work_seconds` has changed since it was last taken.
+    is_work_updated: bool,
     sent_at: Option<MonoTime>,
     n_failed: u32,
     paused_until: MonoTime,
@@ -80,6 +82,7 @@
             report: None,
             sent_since: SmallVec::new(),
             work_seconds: None,
+            is_work_updated: false,
             sent_at: None,
             n_failed: 0,
             paused_until: MonoTime::default(),
@@ -125,6 +128,12 @@
         let work_seconds = age.as_secs_f64() / rounds;
         let old = self.work_seconds.unwrap_or(work_seconds);
         self.work_seconds = Some(old + (work_seconds - old) * WORK_GAIN);
+        self.is_work_updated = true;
+    }
+
+    /// The moving average of the work time, if a call has changed it since this was last called.
+    pub fn take_updated_work(&mut self) -> Option<f64> {
+        self.work_seconds.filter(|_| std::mem::take(&mut self.is_work_updated))
     }
 
     /// Takes in the server's report of the time `at`, unless one at least as recent is known.
@@ -142,11 +151,6 @@
         self.n_open
     }
 
-    /// Moving average of the work time in seconds, without queueing; `None` before the first answer.
-    pub fn work_seconds(&self) -> Option<f64> {
-        self.work_seconds
-    }
-
     /// Whether the server is avoided after failures.
     pub fn is_paused(&self, now: MonoTime) -> bool {
         now < self.paused_until
