entry: look up a service's mean time in one function, drop statistics of services and domains that are gone

Cause: three functions looked up the same mean with one fallback (0.1 s) and its initial value was another (0.15 s); statistics of services and of silent domains were never dropped; a move's grant carried a kind that never changed.

--- a/crates/entry/src/assigner/order_executor.rs
+++ b/crates/entry/src/assigner/order_executor.rs
@@ -148,9 +148,8 @@
             };
             handover = received.or(handover);
         }
-        let mut kind = GrantKind::First;
         loop {
-            match self.grant(entry, handover.as_deref(), kind).await {
+            match self.grant(entry, handover.as_deref(), GrantKind::First).await {
                 Some(OrderOutcome::Done(_)) => break,
                 None => return,
                 Some(outcome) => {
@@ -159,7 +158,6 @@
                     if outcome == OrderOutcome::Superseded {
                         return;
                     }
-                    kind = GrantKind::First;
                     sleep(ORDER_RETRY_DELAY).await;
                 }
             }
--- a/crates/entry/src/stats.rs
+++ b/crates/entry/src/stats.rs
@@ -10,7 +10,7 @@
 const MEAN_GAIN: f64 = 0.05;
 
 /// Assumed average seconds to an answer before the first one.
-const INITIAL_SECONDS: f64 = 0.15;
+pub const INITIAL_SECONDS: f64 = 0.15;
 
 /// Statistics of one instance of a server.
 #[derive(Debug, Clone)]
--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -4,7 +4,13 @@
 mod choice;
 mod exchange;
 
-use std::{cell::RefCell, collections::HashMap, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    cell::RefCell,
+    collections::{BTreeSet, HashMap},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
@@ -25,7 +31,7 @@
     HttpAnswer, HttpConnection, PlanRoute, ReportCache, ServerFormat, SnapshotChannel,
     StateSnapshot,
     datagrams::RouterLoad,
-    stats::{ServerStats, ServiceStats},
+    stats::{INITIAL_SECONDS, ServerStats, ServiceStats},
 };
 
 /// Fraction of a request's time limit that it may spend waiting for its key to get an owner.
@@ -109,6 +115,13 @@
     n_open: usize,
 }
 
+impl TrafficState {
+    /// Moving average of the seconds to an answer of `service`.
+    fn mean_seconds(&self, service: &ServiceName) -> f64 {
+        self.service_stats.get(service).map_or(INITIAL_SECONDS, ServiceStats::mean_seconds)
+    }
+}
+
 /// Dependencies of a [`TrafficServer`].
 pub struct TrafficParts<F> {
     /// Header names and formats of the platform.
@@ -420,7 +433,7 @@
         RouterLoad { vm: Some(self.settings.load().vm.clone()), keys, work }
     }
 
-    /// Drops statistics of servers that are gone and closes connections that can't be used any
+    /// Drops statistics of servers, services and domains that are gone and closes connections that can't be used any
     /// more.
     pub fn sweep(&self) {
         let now = self.clock.now();
@@ -428,6 +441,14 @@
         let mut state = self.state.borrow_mut();
         state.pool.sweep(now);
         state.server_stats.retain(|name, _| snapshot.servers.contains_key(name));
+        let has_service = |it: &ServiceName| {
+            snapshot.plan.as_ref().is_some_and(|plan| plan.services.contains_key(it))
+        };
+        state.service_stats.retain(|service, _| has_service(service));
+        state.key_counts.retain(|service, _| has_service(service));
+        let domains: BTreeSet<&DomainName> =
+            snapshot.servers.values().map(|it| &it.entry.domain).collect();
+        state.silence_detectors.retain(|domain, _| domains.contains(domain));
     }
 }
 
--- a/crates/entry/src/traffic/choice.rs
+++ b/crates/entry/src/traffic/choice.rs
@@ -20,10 +20,6 @@
 /// latency objective.
 const SUSPECT_PENALTY: f64 = 5.0;
 
-/// Mean seconds to an answer of a service without statistics; normally they exist, because
-/// `count_first_send` creates them before the choice.
-const FALLBACK_SECONDS: f64 = 0.1;
-
 /// Decision where to send a request.
 pub(super) enum SendChoice {
     /// Send it to this server.
@@ -73,14 +69,11 @@
         }
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
+        let mean_seconds = state.mean_seconds(&request.service);
         let stats = current_stats(&mut state.server_stats, server);
         if !stats.may_send(server, &self.settings.load().vm, snapshot, now) {
             return SendChoice::Refuse(NotRunReason::ColdServer);
         }
-        let mean_seconds = state
-            .service_stats
-            .get(&request.service)
-            .map_or(FALLBACK_SECONDS, ServiceStats::mean_seconds);
         let detector = state.silence_detectors.entry(server.entry.domain.clone()).or_default();
         self.apply_latest_report(server, stats, detector);
         // The owner's failure domain is silent, and no probe of it is due.
@@ -105,10 +98,7 @@
     ) -> SendChoice {
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
-        let mean_seconds = state
-            .service_stats
-            .get(&request.service)
-            .map_or(FALLBACK_SECONDS, ServiceStats::mean_seconds);
+        let mean_seconds = state.mean_seconds(&request.service);
         // Costs are divided by the objective, which must not be zero.
         let objective = request.route.latency_objective.as_secs_f64().max(0.001);
         let n_vms = snapshot.vms.len().max(1) as f64;
@@ -178,10 +168,7 @@
     pub(super) fn shortest_queue(&self, request: &RequestState, now: MonoTime) -> Duration {
         let snapshot = self.channel.current();
         let state = self.state.borrow();
-        let mean_seconds = state
-            .service_stats
-            .get(&request.service)
-            .map_or(FALLBACK_SECONDS, ServiceStats::mean_seconds);
+        let mean_seconds = state.mean_seconds(&request.service);
         let owner = request.key.and_then(|key| {
             let entry = snapshot.shards.get(&request.service)?.record.entry(key)?;
             Some(&entry.holder.instance.server)
