policy: size the shared retry budget in one tested place

Cause: the entry computed each router's share of the operators' retry slack itself, with no test of what the shares of hundreds of routers add up to, or whether one that rounds down still allows a retry. Change: RetryBudget::shared holds the shares and the minimum of one; behavior is the same. The cold pacer's property runs at 300 and 1,000 routers too. Measured: the budgets of 1, 11, 90, 300 and 1,000 routers stay within ratio and slack and above half of the ratio.

--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -37,12 +37,6 @@
 /// Fraction of a request's time limit that it may spend waiting for its key to get an owner.
 const OWNER_WAIT_SHARE: f64 = 0.4;
 
-/// Fraction of the configured retry slack that all routers together use.
-const RETRY_SLACK_SHARE: f64 = 0.6;
-
-/// Fraction of the configured retry ratio that all routers together use.
-const RETRY_RATIO_SHARE: f64 = 0.75;
-
 /// Hop-by-hop headers, and headers that are set anew for each connection; none are forwarded.
 const HOP_BY_HOP_HEADERS: [&str; 9] = [
     "connection",
@@ -259,12 +253,11 @@
 
     /// Adds to the service's retry budget for a request's first attempt.
     fn count_first_send(&self, request: &RequestState) {
-        let n_vms = self.channel.current().vms.len().max(1) as f64;
+        let n_vms = self.channel.current().vms.len();
         let retries = self.settings.load().retries;
         let mut state = self.state.borrow_mut();
         let stats = state.service_stats.entry(request.service.clone()).or_insert_with(|| {
-            let cap = (retries.slack * RETRY_SLACK_SHARE / n_vms).max(1.0);
-            ServiceStats::new(RetryBudget::new(retries.ratio * RETRY_RATIO_SHARE, cap))
+            ServiceStats::new(RetryBudget::shared(retries.ratio, retries.slack, n_vms))
         });
         stats.budget.note_first();
     }
--- a/crates/policy/src/budget.rs
+++ b/crates/policy/src/budget.rs
@@ -1,5 +1,11 @@
 //! Limit on retries and hedges as a share of recent traffic.
 
+/// Fraction of the operators' retry slack that all routers together use.
+const SLACK_SHARE: f64 = 0.6;
+
+/// Fraction of the operators' retry ratio that all routers together use.
+const RATIO_SHARE: f64 = 0.75;
+
 /// Token bucket that first sends fill and that retries and hedges spend.
 ///
 /// When every send fails, the number of sends stays below `1 + ratio` times that of requests, not
@@ -17,6 +23,17 @@
         Self { tokens: cap.min(1.0), ratio, cap }
     }
 
+    /// Creates the budget of one of `n_routers` routers that together may send `ratio` retries for
+    /// each request and `slack` more.
+    ///
+    /// Load pattern: hundreds of routers, of which each sends a few requests a second and retries
+    /// rarely. Each may save at least one retry, as a share of less than one would never allow any;
+    /// so together they keep to the slack while there are no more routers than `slack`.
+    pub fn shared(ratio: f64, slack: f64, n_routers: usize) -> Self {
+        let cap = (slack * SLACK_SHARE / n_routers.max(1) as f64).max(1.0);
+        Self::new(ratio * RATIO_SHARE, cap)
+    }
+
     /// Records a first send, which adds `ratio` tokens.
     pub fn note_first(&mut self) {
         self.tokens = (self.tokens + self.ratio).min(self.cap);
--- a/crates/policy/tests/it/budget.rs
+++ b/crates/policy/tests/it/budget.rs
@@ -33,3 +33,31 @@
     budget.refund();
     assert!(budget.take());
 }
+
+/// Shares of hundreds of routers neither round to zero, so that none of them ever retries, nor add
+/// up to more than the operators allow.
+#[test]
+fn the_budgets_of_any_number_of_routers_keep_to_ratio_and_slack() {
+    const RATIO: f64 = 0.2;
+    const SLACK: f64 = 1_000.0;
+    const N_REQUESTS: usize = 20_000;
+    for n_routers in [1, 11, 90, 300, 1_000] {
+        let mut budgets = vec![RetryBudget::shared(RATIO, SLACK, n_routers); n_routers];
+        for number in 0..N_REQUESTS {
+            budgets[number % n_routers].note_first();
+        }
+        // All requests fail at the same moment, and fail again.
+        let n_saved = budgets.iter_mut().map(|it| (0..2_000).filter(|_| it.take()).count());
+        let n_saved: usize = n_saved.sum();
+        let mut n_earned = 0;
+        for number in 0..N_REQUESTS {
+            let budget = &mut budgets[number % n_routers];
+            budget.note_first();
+            n_earned += usize::from(budget.take());
+        }
+        let n_retries = n_saved + n_earned;
+        let allowed = RATIO * N_REQUESTS as f64 + SLACK;
+        assert!(n_retries as f64 <= allowed, "{n_routers} routers: {n_retries} retries");
+        assert!(n_retries >= N_REQUESTS / 10, "{n_routers} routers: {n_retries} retries");
+    }
+}
--- a/crates/policy/tests/it/cold_pacer.rs
+++ b/crates/policy/tests/it/cold_pacer.rs
@@ -34,7 +34,7 @@
 
 #[test]
 fn any_number_of_routers_together_keep_to_the_cold_rate() {
-    for n_routers in [1, 3, 11, 90] {
+    for n_routers in [1, 3, 11, 90, 300, 1_000] {
         let sent_ms = send_times_ms(n_routers, 6.0);
         assert!(busiest_second(&sent_ms) <= 6 + 1, "{n_routers}: {}", busiest_second(&sent_ms));
         assert!(sent_ms.len() >= 18, "{n_routers}: {} in 4 s", sent_ms.len());
