entry: keep relays fresh: not on the assigner's VM, waited for while they catch up, complete state built once

A relay also built the complete state, 0.4 MB, for each of 58 starting VMs, and sent it even if it was stale. Change: the assigner's VM relays only if its domain has no other; a VM that is ahead waits for the relay to catch up (it becomes stale if it doesn't); the events of the complete state are kept for 0.5 s; a stale relay sends none.

--- a/crates/entry/src/change_relay.rs
+++ b/crates/entry/src/change_relay.rs
@@ -53,7 +53,7 @@
     /// Whether the events are the complete state rather than changes.
     pub is_complete: bool,
     /// Events in the order in which they were applied; empty if none came within the wait time.
-    pub events: Vec<ChangeEvent>,
+    pub events: Arc<Vec<ChangeEvent>>,
     /// Milliseconds since the store last answered the relay, or the relay that it uses itself.
     pub age_ms: u64,
     /// Newest store revision in the relay's state.
@@ -83,6 +83,36 @@
     /// Newest revision of the events that are no longer kept.
     dropped_revision: u64,
     snapshot: Arc<StateSnapshot>,
+    complete: Option<CompleteState>,
+}
+
+/// The complete state as events. A relay that starts sends it to all VMs of its domain at once.
+#[derive(Debug, Clone)]
+struct CompleteState {
+    /// Number of the last event that it contains.
+    last: u64,
+    built_at: MonoTime,
+    events: Arc<Vec<ChangeEvent>>,
+}
+
+/// Time for which the events of the complete state are reused; the remaining times of cold servers
+/// are longer in them by up to as much.
+const COMPLETE_STATE_LIFETIME: Duration = Duration::from_millis(500);
+
+impl RelayState {
+    /// The complete state at `now`.
+    fn complete_events(&mut self, now: MonoTime) -> Arc<Vec<ChangeEvent>> {
+        let last = self.last;
+        let is_usable = |it: &CompleteState| {
+            it.last == last && now.since(it.built_at) < COMPLETE_STATE_LIFETIME
+        };
+        if let Some(complete) = self.complete.as_ref().filter(|it| is_usable(it)) {
+            return complete.events.clone();
+        }
+        let events = Arc::new(self.snapshot.to_events(now));
+        self.complete = Some(CompleteState { last, built_at: now, events: events.clone() });
+        events
+    }
 }
 
 impl RelayLog {
@@ -123,29 +153,33 @@
     /// Builds the reply without waiting.
     fn reply(&self, request: &RelayRequest) -> RelayReply {
         let now = self.clock.now();
-        let state = self.lock();
+        let mut state = self.lock();
+        let age = now.since(state.synced_at);
         let n_new = state.last.saturating_sub(request.after);
         let is_followed = request.incarnation == self.incarnation
             && request.after <= state.last
             && n_new <= state.changes.len() as u64;
         let is_kept = request.revision > 0 && request.revision >= state.dropped_revision;
         let (is_complete, events) = match () {
+            // The caller refuses it for its age.
+            () if age > MAX_RELAY_AGE => (false, Arc::default()),
             () if is_followed => {
                 let n_old = state.changes.len() - n_new as usize;
-                (false, state.changes.iter().skip(n_old).map(|(_, it)| it.clone()).collect())
+                let new = state.changes.iter().skip(n_old).map(|(_, it)| it.clone());
+                (false, Arc::new(new.collect()))
             }
             () if is_kept => {
                 let newer = state.changes.iter().filter(|(it, _)| *it > request.revision);
-                (false, newer.map(|(_, it)| it.clone()).collect())
+                (false, Arc::new(newer.map(|(_, it)| it.clone()).collect()))
             }
-            () => (true, state.snapshot.to_events(now)),
+            () => (true, state.complete_events(now)),
         };
         RelayReply {
             incarnation: self.incarnation,
             last: state.last,
             is_complete,
             events,
-            age_ms: now.since(state.synced_at).as_millis() as u64,
+            age_ms: age.as_millis() as u64,
             revision: state.revision,
         }
     }
@@ -255,11 +289,10 @@
 /// store during an outage.
 const NON_WATCHER_BACKOFF: Duration = Duration::from_millis(2_500);
 
-/// VMs of a domain that watch the store themselves: those with the most capacity.
+/// VMs of a domain that watch the store themselves.
 fn store_watchers<'a>(
     snapshot: &'a StateSnapshot,
     domain: &DomainName,
 ) -> impl Iterator<Item = &'a VmName> {
-    let names = snapshot.vms_by_capacity(|it| it.domain == *domain);
-    names.into_iter().take(WATCHERS_PER_DOMAIN)
+    snapshot.relays(domain).into_iter().take(WATCHERS_PER_DOMAIN)
 }
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -158,10 +158,18 @@
         self.evacuated.contains_key(&server.entry.domain)
     }
 
-    /// The VM of a domain with the most capacity, which relays changes and server reports.
+    /// VMs of a domain in the order in which they are to relay changes and server reports: by
+    /// capacity, but the assigner's VM last, as its orders would delay what it relays.
+    pub fn relays(&self, domain: &DomainName) -> Vec<&VmName> {
+        let assigner = self.assigner.as_ref().map(|it| &it.record.vm);
+        let mut vms = self.vms_by_capacity(|it| it.domain == *domain);
+        vms.sort_by_key(|it| Some(*it) == assigner);
+        vms
+    }
+
+    /// The VM of a domain that relays server reports.
     pub fn domain_relay(&self, domain: &DomainName) -> Option<(&VmName, &VmPresence)> {
-        let vms = self.vms_by_capacity(|it| it.domain == *domain);
-        vms.first().and_then(|it| self.vms.get_key_value(*it))
+        self.relays(domain).first().and_then(|it| self.vms.get_key_value(*it))
     }
 
     /// The complete state as events, for a VM that has none.
--- a/crates/entry/src/state_sync.rs
+++ b/crates/entry/src/state_sync.rs
@@ -263,7 +263,8 @@
     }
 }
 
-/// Calls a relay. On the first call, rejects a state older than `known_revision`.
+/// Calls a relay. Until the relay has reached `known_revision`, its changes are not used, and a
+/// complete state is refused.
 async fn read_relay(
     client: &PeerClient,
     position: &mut ReadPosition,
@@ -280,17 +281,20 @@
     let age = Duration::from_millis(reply.age_ms);
     match () {
         () if age > MAX_RELAY_AGE => return Err(refused("its state is stale")),
-        () if position.relay.is_none() && reply.revision < known_revision => {
-            return Err(refused("its state is older than this VM's"));
+        () if position.relay.is_some() || reply.revision >= known_revision => (),
+        () if reply.is_complete => return Err(refused("its state is older than this VM's")),
+        // This VM has come from a source that was ahead; the relay catches up or becomes stale.
+        () => {
+            sleep(RETRY_DELAY).await;
+            return Ok(SourceBatch { batch: ChangeBatch::default(), is_complete: false, age });
         }
-        () => (),
     }
     position.relay = Some((reply.incarnation, reply.last));
     position.revision = Some(reply.revision.max(known_revision));
     Ok(SourceBatch {
         batch: ChangeBatch {
             revision: reply.revision,
-            events: reply.events,
+            events: Arc::unwrap_or_clone(reply.events),
             ..ChangeBatch::default()
         },
         is_complete: reply.is_complete,
--- a/crates/entry/tests/it/change_relay.rs
+++ b/crates/entry/tests/it/change_relay.rs
@@ -86,3 +86,18 @@
     assert!(!newest.is_complete);
     assert_eq!(newest.events.len(), 10);
 }
+
+/// Guards against a relay that spends its time on states which the callers refuse for their age.
+#[tokio::test]
+async fn a_relay_that_is_out_of_sync_sends_no_state() {
+    let log = RelayLog::new(INCARNATION, ProcessClock::default());
+    let channel = SnapshotChannel::with_relay(log.clone());
+    let mut cache = StateCache::new(Logger::root(Discard, o!()));
+    let batch = ChangeBatch { revision: 10, events: vec![server("a")], ..ChangeBatch::default() };
+    cache.apply_changes(batch, MonoTime::default());
+    channel.publish(&mut cache);
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    let reply = reply(&log, 0).await;
+    assert!(reply.age_ms > 1_100);
+    assert!(reply.events.is_empty());
+}
--- a/crates/entry/tests/it/change_source.rs
+++ b/crates/entry/tests/it/change_source.rs
@@ -2,7 +2,9 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use entry::{ChangeSource, SourceSelector, StateSnapshot, VmPresence};
+use entry::{
+    AssignerRecord, ChangeSource, SourceSelector, StateSnapshot, StoredAssigner, VmPresence,
+};
 use model::{DomainName, MonoTime, VmName};
 
 fn vm(name: &str) -> VmName {
@@ -91,3 +93,18 @@
     assert_eq!(n_calls("a-2"), 8);
     assert!(n_calls("a-1") <= 4, "{}", n_calls("a-1"));
 }
+
+/// Load pattern: the assigner orders a hundred moves at once and then relays changes a second late,
+/// so that all VMs of its domain turn to the store.
+#[test]
+fn the_assigners_vm_is_no_relay_while_its_domain_has_another_vm() {
+    let mut snapshot = snapshot();
+    let reports = snapshot.vms[&vm("a-2")].reports;
+    let record = AssignerRecord { vm: vm("a-2"), incarnation: 1, reports, has_resigned: false };
+    snapshot.assigner = Some(StoredAssigner { revision: 4, record });
+    assert_eq!(snapshot.relays(&domain("a")), [&vm("a-1"), &vm("a-2")]);
+    assert_eq!(snapshot.relays(&domain("b")), [&vm("b-2"), &vm("b-1")]);
+    assert_eq!(snapshot.domain_relay(&domain("a")).map(|it| it.0), Some(&vm("a-1")));
+    Arc::make_mut(&mut snapshot.vms).remove(&vm("a-1"));
+    assert_eq!(snapshot.relays(&domain("a")), [&vm("a-2")]);
+}
