entry: let a relay that has read nothing yet count as out of sync

Cause: a relay's age is the time since its last sync, which begins at 0, as does the process's clock: in its first 1.1 s a relay without any state counted as fresh. Change: without a revision of the store the reported age is an hour. Measured: the new test fails before (0 ms).

--- a/crates/entry/src/change_relay.rs
+++ b/crates/entry/src/change_relay.rs
@@ -95,6 +95,9 @@
     events: Arc<Vec<ChangeEvent>>,
 }
 
+/// Age that a relay without any state reports.
+const UNSYNCED_AGE: Duration = Duration::from_secs(3_600);
+
 /// Time for which the events of the complete state are reused; the remaining times of cold servers
 /// are longer in them by up to as much.
 const COMPLETE_STATE_LIFETIME: Duration = Duration::from_millis(500);
@@ -154,7 +157,11 @@
     fn reply(&self, request: &RelayRequest) -> RelayReply {
         let now = self.clock.now();
         let mut state = self.lock();
-        let age = now.since(state.synced_at);
+        // Before it has read the store, this VM has no state, whatever its clock shows.
+        let age = match state.revision {
+            0 => UNSYNCED_AGE,
+            _ => now.since(state.synced_at),
+        };
         let n_new = state.last.saturating_sub(request.after);
         let is_followed = request.incarnation == self.incarnation
             && request.after <= state.last
--- a/crates/entry/tests/it/change_relay.rs
+++ b/crates/entry/tests/it/change_relay.rs
@@ -101,3 +101,12 @@
     assert!(reply.age_ms > 1_100);
     assert!(reply.events.is_empty());
 }
+
+/// Guards against a relay that has just started: by its young clock it was in sync a moment ago, and
+/// its empty state was taken for the complete one by all VMs that started with it.
+#[tokio::test]
+async fn a_relay_that_has_read_nothing_yet_is_out_of_sync() {
+    let reply = reply(&relay(&[]), 0).await;
+    assert!(reply.age_ms > 1_100, "{} ms", reply.age_ms);
+    assert!(!reply.is_complete);
+}
