entry: let three VMs of a domain relay in turn

Change: a VM goes through the first three relays of its domain and only then to the store; a relay that has come to its own place in the order watches the store. Since relays serve any fresh state, the second may follow the first meanwhile. Ruled out: more attempts at a failing store: only the first relay of a domain repeats its calls each second.

--- a/crates/entry/src/change_relay.rs
+++ b/crates/entry/src/change_relay.rs
@@ -1,8 +1,9 @@
-//! Relays the store's change stream: a few VMs per failure domain watch the store, and the others
-//! long-poll them, so that the number of calls to the store does not grow with the fleet.
+//! Relays the store's change stream: one VM per failure domain watches the store, and the others
+//! long-poll it or, if it fails, the next, so that the number of calls to the store does not grow
+//! with the fleet.
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard},
     time::Duration,
@@ -16,8 +17,9 @@
 
 use crate::{ChangeEvent, StateSnapshot};
 
-/// Number of VMs per failure domain that watch the store themselves.
-const WATCHERS_PER_DOMAIN: usize = 1;
+/// Number of VMs of a failure domain that the others use as relays, one after the other. Each of
+/// them follows those before it, and watches the store itself once they have failed.
+const RELAYS_PER_DOMAIN: usize = 3;
 
 /// Number of recent events kept for VMs that were briefly disconnected.
 const MAX_KEPT_EVENTS: usize = 512;
@@ -239,39 +241,46 @@
     }
 
     /// Selects the source to use now; `None` while all sources are backed off.
+    ///
+    /// Load pattern: a relay fails for some or all VMs of its domain for a moment. If they turned to
+    /// the store for the time of their backoff, it would get a watch from each of them.
     pub fn select(&mut self, snapshot: &StateSnapshot, now: MonoTime) -> Option<ChangeSource> {
-        let is_own_turn = store_watchers(snapshot, &self.domain).any(|it| *it == self.vm);
         let is_known = self.is_listed(snapshot);
-        self.is_watcher = is_own_turn || !is_known;
-        let own_relay = self.relay(snapshot, &[&self.domain], now);
+        let own_relay = self.first_relay(snapshot, &self.domain, now).filter(|_| is_known);
+        let is_first = snapshot.relays(&self.domain).first() == Some(&&self.vm);
+        self.is_watcher = is_first || !is_known;
         let is_store_usable = now >= self.store_retry_at;
         match own_relay {
-            Some(relay) if is_known && !is_own_turn => Some(relay),
+            Some(vm) if *vm != self.vm => self.source_at(snapshot, vm),
             _ if is_store_usable => Some(ChangeSource::Store),
-            Some(relay) => Some(relay),
-            None => {
-                let others: Vec<&DomainName> = snapshot
+            _ => {
+                let domains: BTreeSet<&DomainName> = snapshot
                     .vms
                     .values()
                     .map(|it| &it.domain)
-                    .filter(|it| **it != self.domain)
+                    .filter(|it| !is_known || **it != self.domain)
                     .collect();
-                self.relay(snapshot, &others, now)
+                let relays = domains.iter().map(|it| self.first_relay(snapshot, it, now));
+                let vm = relays.flatten().find(|it| **it != self.vm)?;
+                self.source_at(snapshot, vm)
             }
         }
     }
 
-    fn relay(
+    /// The first relay of `domain` that this VM has not backed off from; may be this VM itself.
+    fn first_relay<'a>(
         &self,
-        snapshot: &StateSnapshot,
-        domains: &[&DomainName],
+        snapshot: &'a StateSnapshot,
+        domain: &DomainName,
         now: MonoTime,
-    ) -> Option<ChangeSource> {
-        let is_usable = |it: &&VmName| {
-            **it != self.vm && self.retry_at.get(*it).is_none_or(|until| now >= *until)
-        };
-        let name = domains.iter().find_map(|it| store_watchers(snapshot, it).find(is_usable))?;
-        Some(ChangeSource::Relay(name.clone(), snapshot.vms.get(name)?.relay))
+    ) -> Option<&'a VmName> {
+        let relays = snapshot.relays(domain).into_iter().take(RELAYS_PER_DOMAIN);
+        let is_usable = |it: &&VmName| self.retry_at.get(*it).is_none_or(|until| now >= *until);
+        relays.into_iter().find(is_usable)
+    }
+
+    fn source_at(&self, snapshot: &StateSnapshot, vm: &VmName) -> Option<ChangeSource> {
+        Some(ChangeSource::Relay(vm.clone(), snapshot.vms.get(vm)?.relay))
     }
 
     /// Backs off from a source that failed.
@@ -295,11 +304,3 @@
 /// Backoff of other VMs, which no VM depends on. It is longer so that mainly the watchers call the
 /// store during an outage.
 const NON_WATCHER_BACKOFF: Duration = Duration::from_millis(2_500);
-
-/// VMs of a domain that watch the store themselves.
-fn store_watchers<'a>(
-    snapshot: &'a StateSnapshot,
-    domain: &DomainName,
-) -> impl Iterator<Item = &'a VmName> {
-    snapshot.relays(domain).into_iter().take(WATCHERS_PER_DOMAIN)
-}
--- a/crates/entry/tests/it/change_source.rs
+++ b/crates/entry/tests/it/change_source.rs
@@ -108,3 +108,30 @@
     Arc::make_mut(&mut snapshot.vms).remove(&vm("a-1"));
     assert_eq!(snapshot.relays(&domain("a")), [&vm("a-2")]);
 }
+
+/// Load pattern: the relay of a domain is lost, and all VMs of the domain turned to the store for
+/// the time of their backoff.
+#[test]
+fn only_one_vm_of_a_domain_watches_the_store_when_its_relay_is_lost() {
+    let mut snapshot = snapshot();
+    for number in 3..60 {
+        let presence = VmPresence { millicores: 100, ..snapshot.vms[&vm("a-1")].clone() };
+        Arc::make_mut(&mut snapshot.vms).insert(vm(&format!("a-{number}")), presence);
+    }
+    let lost = snapshot.relays(&domain("a"))[0].clone();
+    let survivors: Vec<VmName> =
+        snapshot.relays(&domain("a")).into_iter().filter(|it| **it != lost).cloned().collect();
+    let mut n_watching = 0;
+    for name in &survivors {
+        let mut selector = SourceSelector::new(name.clone(), domain("a"));
+        let first = selector.select(&snapshot, at(0)).expect("a source");
+        assert!(matches!(&first, ChangeSource::Relay(it, _) if *it == lost));
+        selector.record_failure(&first, at(0));
+        match selector.select(&snapshot, at(10)).expect("a source") {
+            ChangeSource::Store => n_watching += 1,
+            ChangeSource::Relay(it, _) => assert_eq!(it, survivors[0]),
+        }
+    }
+    assert_eq!(survivors.len(), 58);
+    assert_eq!(n_watching, 1);
+}
