entry: end the borrow of the cache before the wait for the presence record

Cause: clippy (await_holding_refcell_ref) follows the binding, not its drop. Change: the borrow is a statement of its own; the behavior is the same.

--- a/crates/entry/src/state_sync.rs
+++ b/crates/entry/src/state_sync.rs
@@ -204,16 +204,18 @@
         loop {
             let res = self.store.read_records(VM_PREFIX, ANSWER_TIMEOUT).await;
             let now = self.clock.now();
-            let mut cache = self.cache.borrow_mut();
             match res {
                 // The records alone are no state that another source could be compared with.
-                Ok(batch) => _ = cache.apply_changes(ChangeBatch { revision: 0, ..batch }, now),
+                Ok(batch) => {
+                    let batch = ChangeBatch { revision: 0, ..batch };
+                    self.cache.borrow_mut().apply_changes(batch, now);
+                }
                 Err(err) => warn!(self.log, "vms-not-read"; "cause" => %err),
             }
-            if self.selector.is_listed(cache.snapshot()) || now >= give_up_at {
+            let is_listed = self.selector.is_listed(self.cache.borrow().snapshot());
+            if is_listed || now >= give_up_at {
                 return;
             }
-            drop(cache);
             sleep(RETRY_DELAY).await;
         }
     }
