entry: move datagram tasks and header rules into modules of their own

Change: datagram_tasks.rs (receives and sends datagrams), traffic/headers.rs (which headers are passed on), one fixture for both tests; code moved, not changed.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,6 +8,7 @@
 mod assigner;
 mod change_relay;
 mod connections;
+mod datagram_tasks;
 mod datagrams;
 mod http_server;
 mod metrics;
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -1,16 +1,13 @@
 //! Runs the entry process: a control thread and a traffic thread.
 
-use std::{cell::RefCell, collections::BTreeSet, rc::Rc, thread, time::Duration};
+use std::{cell::RefCell, rc::Rc, thread, time::Duration};
 
 use eyre::WrapErr;
 use http::StatusCode;
-use model::{DomainName, MonoTime};
-use ownership::KeyLoad;
 use peer::{ByteCounter, serve_peers};
 use settings::{ProcessClock, SettingError};
 use slog::{Logger, info, warn};
 use tokio::{
-    net::UdpSocket,
     runtime::{Builder, Runtime},
     signal::unix::{SignalKind, signal},
     sync::watch,
@@ -19,17 +16,13 @@
 };
 
 use crate::{
-    AssignerParts, EntryMetrics, EntrySettings, KeyAssigner, ReportBatch, ReportCache,
-    ServerFormat, SnapshotChannel, StateStore, TrafficParts, TrafficServer, VmPresence,
+    AssignerParts, EntryMetrics, EntrySettings, KeyAssigner, ReportCache, ServerFormat,
+    SnapshotChannel, StateStore, TrafficParts, TrafficServer, VmPresence,
     assigner::{KeyedLoads, SharedLoads},
     change_relay::{RelayLog, SourceSelector},
-    datagrams::{
-        DATAGRAM_BUFFER_BYTES, PeerDatagram, ROUTER_LOAD_INTERVAL, RouterLoad, bind_socket,
-        decode_datagram, encode_datagrams,
-    },
+    datagram_tasks::{receive_datagrams, send_router_loads, send_server_reports},
     http_server::{ShutdownPhase, serve_callers, serve_texts},
     presence::maintain_presence,
-    server_reports::SERVER_REPORT_INTERVAL,
     state_cache::StateCache,
     state_sync::ChangeFollower,
 };
@@ -232,122 +225,6 @@
     }
 }
 
-/// Receives datagrams of other VMs and applies them.
-async fn receive_datagrams(
-    settings: EntrySettings,
-    server_reports: ReportCache,
-    loads: SharedLoads,
-    cache: Rc<RefCell<StateCache>>,
-    channel: SnapshotChannel,
-    clock: ProcessClock,
-    log: Logger,
-) {
-    let address = settings.reports;
-    let socket = match bind_socket(address).await {
-        Ok(it) => it,
-        Err(err) => {
-            warn!(log, "reports-listen-failed"; "address" => %address, "cause" => %err);
-            return;
-        }
-    };
-    let mut buffer = vec![0; DATAGRAM_BUFFER_BYTES];
-    loop {
-        let Ok((len, _)) = socket.recv_from(&mut buffer).await else {
-            sleep(ROUTER_LOAD_INTERVAL).await;
-            continue;
-        };
-        match decode_datagram(&buffer[..len]) {
-            Some(PeerDatagram::Load(load)) => apply_router_load(&loads, load, clock.now()),
-            Some(PeerDatagram::Shards(update)) => {
-                let mut cache = cache.borrow_mut();
-                // The change stream makes up for an update that is not contiguous.
-                if cache.apply_shard_update(update) {
-                    channel.publish(&mut cache);
-                }
-            }
-            Some(PeerDatagram::Acked(range)) => {
-                let mut cache = cache.borrow_mut();
-                cache.apply_acked_range(range);
-                channel.publish(&mut cache);
-            }
-            Some(PeerDatagram::ServerReports(batch)) => {
-                server_reports.record_remote(&batch, &settings.domain, clock.now());
-            }
-            None => (),
-        }
-    }
-}
-
-/// Sends the servers' reports to the domain's relay, which forwards them to the VMs of its domain
-/// and to the relays of the other domains.
-async fn send_server_reports(
-    settings: EntrySettings,
-    server_reports: ReportCache,
-    channel: SnapshotChannel,
-    clock: ProcessClock,
-    log: Logger,
-) {
-    let socket = bind_sender(&settings, &log).await;
-    loop {
-        sleep(SERVER_REPORT_INTERVAL).await;
-        let outgoing = server_reports.take_outgoing(clock.now());
-        let snapshot = channel.current();
-        let domain_relay = snapshot.domain_relay(&settings.domain);
-        let is_domain_relay = domain_relay.is_some_and(|(vm, _)| *vm == settings.vm);
-        let domains: BTreeSet<&DomainName> = snapshot.vms.values().map(|it| &it.domain).collect();
-        let (others, peers): (Vec<_>, Vec<_>) = match is_domain_relay {
-            true => (
-                domains
-                    .into_iter()
-                    .filter(|it| **it != settings.domain)
-                    .filter_map(|it| Some(snapshot.domain_relay(it)?.1.reports))
-                    .collect(),
-                snapshot
-                    .vms
-                    .iter()
-                    .filter(|(vm, it)| it.domain == settings.domain && **vm != settings.vm)
-                    .map(|(_, it)| it.reports)
-                    .collect(),
-            ),
-            false => (domain_relay.map(|(_, it)| it.reports).into_iter().collect(), Vec::new()),
-        };
-        for (server_reports, targets) in [(outgoing.others, others), (outgoing.domain, peers)] {
-            if server_reports.is_empty() {
-                continue;
-            }
-            let batch = ReportBatch { domain: settings.domain.clone(), server_reports };
-            // Batches can always be divided.
-            let datagrams =
-                encode_datagrams(PeerDatagram::ServerReports(batch)).unwrap_or_default();
-            for target in targets {
-                for bytes in &datagrams {
-                    // The next batch makes up for a lost datagram.
-                    let _ = socket.send_to(bytes, target).await;
-                }
-            }
-        }
-    }
-}
-
-fn apply_router_load(loads: &SharedLoads, load: RouterLoad, now: MonoTime) {
-    let mut loads = loads.borrow_mut();
-    for (service, counts) in load.keys {
-        let key_load: &mut KeyLoad = loads.keys.entry(service).or_default();
-        key_load.decay(now);
-        for (key, count) in counts {
-            key_load.add(key, count);
-        }
-    }
-    for (server, millis) in load.work {
-        let seconds = f64::from(millis) / 1_000.0;
-        let average = loads.work.entry(server).or_insert(seconds);
-        *average += (seconds - *average) * WORK_GAIN;
-    }
-}
-
-/// Weight of one router's report in the moving average of a server's work.
-const WORK_GAIN: f64 = 0.1;
-
 /// Applies changed settings, on SIGHUP and whenever polling finds the file changed.
 async fn reload_settings<F: ServerFormat>(
     mut settings: EntrySettings,
@@ -459,43 +336,3 @@
         traffic.sweep();
     }
 }
-
-/// Sends the load of this router to the assigner.
-async fn send_router_loads<F: ServerFormat>(
-    traffic: Rc<TrafficServer<F>>,
-    channel: SnapshotChannel,
-    settings: EntrySettings,
-    log: Logger,
-) {
-    let socket = bind_sender(&settings, &log).await;
-    loop {
-        sleep(ROUTER_LOAD_INTERVAL).await;
-        let load = traffic.take_router_load();
-        let Some(assigner) = channel.current().assigner.as_ref().map(|it| it.record.reports) else {
-            continue;
-        };
-        if load.is_empty() {
-            continue;
-        }
-        // Loads can always be divided.
-        for bytes in encode_datagrams(PeerDatagram::Load(load)).unwrap_or_default() {
-            // The next report makes up for a lost one.
-            let _ = socket.send_to(&bytes, assigner).await;
-        }
-    }
-}
-
-/// Binds a socket for outgoing datagrams; tries again until it succeeds.
-async fn bind_sender(settings: &EntrySettings, log: &Logger) -> UdpSocket {
-    let address = std::net::SocketAddr::new(settings.reports.ip(), 0);
-    loop {
-        match bind_socket(address).await {
-            Ok(socket) => return socket,
-            Err(err) => warn!(log, "datagram-bind-failed"; "address" => %address, "cause" => %err),
-        }
-        sleep(BIND_RETRY_DELAY).await;
-    }
-}
-
-/// Delay before another attempt to bind a socket.
-const BIND_RETRY_DELAY: Duration = Duration::from_millis(1_000);
--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -3,6 +3,7 @@
 
 mod choice;
 mod exchange;
+mod headers;
 
 use std::{
     cell::RefCell,
@@ -37,21 +38,9 @@
 /// Fraction of a request's time limit that it may spend waiting for its key to get an owner.
 const OWNER_WAIT_SHARE: f64 = 0.4;
 
-/// Hop-by-hop headers, and headers that are set anew for each connection; none are forwarded.
-const HOP_BY_HOP_HEADERS: [&str; 9] = [
-    "connection",
-    "content-length",
-    "expect",
-    "keep-alive",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
-
 use choice::SendChoice;
 use exchange::SendOutcome;
+use headers::end_to_end_headers;
 
 /// A caller's request with its complete body.
 #[derive(Debug, Clone)]
@@ -463,26 +452,6 @@
     stats
 }
 
-/// Copies the headers without the hop-by-hop ones, be they standard or listed in `Connection`.
-fn end_to_end_headers(headers: &HeaderMap) -> HeaderMap {
-    let connection_options: SmallVec<[&str; 4]> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|it| it.to_str().ok())
-        .flat_map(|it| it.split(','))
-        .map(str::trim)
-        .collect();
-    let mut kept = HeaderMap::with_capacity(headers.len());
-    for (name, value) in headers {
-        let is_hop_by_hop = HOP_BY_HOP_HEADERS.contains(&name.as_str())
-            || connection_options.iter().any(|it| it.eq_ignore_ascii_case(name.as_str()));
-        if !is_hop_by_hop {
-            kept.append(name.clone(), value.clone());
-        }
-    }
-    kept
-}
-
 /// Counts a request as in flight until it is dropped, also when its caller disconnects.
 struct InFlightGuard<F> {
     traffic: Rc<TrafficServer<F>>,
--- a/crates/entry/tests/it/change_relay.rs
+++ b/crates/entry/tests/it/change_relay.rs
@@ -3,27 +3,20 @@
 use std::time::Duration;
 
 use entry::{
-    ChangeBatch, ChangeEvent, RelayLog, RelayReply, RelayRequest, ServerEntry, SnapshotChannel,
-    StateCache,
+    ChangeBatch, ChangeEvent, RelayLog, RelayReply, RelayRequest, SnapshotChannel, StateCache,
 };
-use model::{DomainName, MonoTime, ServerName, ServiceName};
+use model::MonoTime;
 use peer::PeerService;
 use settings::ProcessClock;
 use slog::{Discard, Logger, o};
 
+use crate::fixtures::server;
+
 const INCARNATION: u64 = 5;
 
-fn server(name: &str) -> ChangeEvent {
-    let entry = ServerEntry {
-        name: ServerName::try_from(name).expect("a name"),
-        service: ServiceName::try_from("archive").expect("a name"),
-        address: "127.0.0.1:9".parse().expect("an address"),
-        domain: DomainName::try_from("west-a").expect("a name"),
-        slots: 4,
-        is_draining: false,
-        cold_left: Duration::ZERO,
-        born: 7,
-    };
+/// The event that a server has joined.
+fn joined(name: &str) -> ChangeEvent {
+    let entry = server(name);
     ChangeEvent::Server(entry.name.clone(), Some(entry))
 }
 
@@ -35,7 +28,7 @@
     for (revision, name) in batches {
         let batch = ChangeBatch {
             revision: *revision,
-            events: vec![server(name)],
+            events: vec![joined(name)],
             ..ChangeBatch::default()
         };
         cache.apply_changes(batch, MonoTime::from_millis(1_000));
@@ -93,7 +86,7 @@
     let log = RelayLog::new(INCARNATION, ProcessClock::default());
     let channel = SnapshotChannel::with_relay(log.clone());
     let mut cache = StateCache::new(Logger::root(Discard, o!()));
-    let batch = ChangeBatch { revision: 10, events: vec![server("a")], ..ChangeBatch::default() };
+    let batch = ChangeBatch { revision: 10, events: vec![joined("a")], ..ChangeBatch::default() };
     cache.apply_changes(batch, MonoTime::default());
     channel.publish(&mut cache);
     tokio::time::sleep(Duration::from_millis(1_200)).await;
--- a/crates/entry/tests/it/main.rs
+++ b/crates/entry/tests/it/main.rs
@@ -4,4 +4,5 @@
 mod change_source;
 mod connections;
 mod datagrams;
+mod fixtures;
 mod state_cache;
--- a/crates/entry/tests/it/state_cache.rs
+++ b/crates/entry/tests/it/state_cache.rs
@@ -5,22 +5,11 @@
 use entry::{
     AckedRange, ChangeBatch, ChangeEvent, ServerEntry, ShardUpdate, StateCache, StoredShards,
 };
-use model::{DomainName, MonoTime, ServerName, ServiceName};
+use model::{MonoTime, ServiceName};
 use ownership::{KeyRange, ServerInstance, ShardDelta, ShardEntry, ShardHolder, ShardRecord};
 use slog::{Discard, Logger, o};
 
-fn server(name: &str) -> ServerEntry {
-    ServerEntry {
-        name: ServerName::try_from(name).expect("a name"),
-        service: ServiceName::try_from("archive").expect("a name"),
-        address: "127.0.0.1:9".parse().expect("an address"),
-        domain: DomainName::try_from("west-a").expect("a name"),
-        slots: 4,
-        is_draining: false,
-        cold_left: Duration::ZERO,
-        born: 7,
-    }
-}
+use crate::fixtures::server;
 
 fn batch(revision: u64, names: &[&str]) -> ChangeBatch {
     let event = |it: &&str| ChangeEvent::Server(server(it).name, Some(server(it)));
