entry: relay that a server has become cold again before its first cold period ended

It joined at 8.6 s, cold until 11.6, in an evacuated domain whose servers became cold at 10.45 (12 others are logged as cold then); its entry changed, but a cold server that is still cold did not count as changed, so only VMs that watch the store learned the new end, and those behind relays took it for warm from 11.6 on. Change: an end of the cold period that is more than 0.5 s later counts as a change. Measured: the new test fails before.

--- a/crates/entry/src/state_cache.rs
+++ b/crates/entry/src/state_cache.rs
@@ -31,6 +31,10 @@
 /// because its lease may have lapsed in the outage.
 const LAPSE_WINDOW: Duration = Duration::from_millis(2_300);
 
+/// Difference in the end of a cold period that the delay of its reports explains. A longer one means
+/// that the server has become cold again.
+const COLD_TIME_TOLERANCE: Duration = Duration::from_millis(500);
+
 /// Encodes a record of the entry processes as JSON.
 pub fn encode_record<T: Serialize>(value: &T) -> Bytes {
     // These records contain nothing that JSON cannot express.
@@ -227,6 +231,7 @@
                 let is_changed = was_missing
                     || was_draining != entry.is_draining
                     || (cached.cold_until > now) != (cold_until > now)
+                    || cold_until > cached.cold_until + COLD_TIME_TOLERANCE
                     || cached.entry.service != entry.service;
                 // A server that is still draining keeps its time; within the same instance, only an
                 // entry that is not draining clears it.
--- a/crates/entry/tests/it/state_cache.rs
+++ b/crates/entry/tests/it/state_cache.rs
@@ -231,3 +231,22 @@
     // Ten times the servers; rebuilding the index for each takes a hundred times as long.
     assert!(large < small.max(0.002) * 40.0, "{small} s for 500, {large} s for 5,000");
 }
+
+/// Guards against too many requests at a cold server: it became cold again before its first cold
+/// period had ended, as when its domain is taken back, and only VMs that watch the store learned of
+/// it.
+#[test]
+fn a_server_that_becomes_cold_again_while_it_is_cold_is_relayed() {
+    let cold = |cold_ms| {
+        let entry = ServerEntry { cold_left: Duration::from_millis(cold_ms), ..server("one") };
+        let events = vec![ChangeEvent::Server(entry.name.clone(), Some(entry))];
+        ChangeBatch { revision: 9, events, ..ChangeBatch::default() }
+    };
+    let mut cache = cache();
+    cache.apply_changes(cold(3_000), at(0));
+    cache.take_changes();
+    cache.apply_changes(cold(2_200), at(1_000));
+    assert_eq!(cache.take_changes(), [], "the same period, reported again");
+    cache.apply_changes(cold(3_000), at(2_000));
+    assert_eq!(cache.take_changes().len(), 1);
+}
