entry: read the complete state at each change of source again

Five VMs whose three relays were stale turned to the store at 8.66 s with the position kept and did not receive a plan acknowledged at about 9.4 s until they were back at a relay at 12.6.

--- a/crates/entry/src/state_sync.rs
+++ b/crates/entry/src/state_sync.rs
@@ -150,7 +150,7 @@
             };
             if selected != source {
                 info!(self.log, "change-source-selected"; "from" => ?selected, "before" => ?source);
-                position.relay = None;
+                position = ReadPosition::default();
                 source = selected;
             }
             let res = match &source {
