--- a/crates/entry/src/state_sync.rs
+++ b/crates/entry/src/state_sync.rs
@@ -115,11 +115,10 @@
     pub log: Logger,
 }
 
-/// Position up to which the state has been read.
+/// Position up to which the current source has been read; dropped when the source changes.
 #[derive(Debug, Clone, Copy, Default)]
 struct ReadPosition {
-    /// Store revision that the state reflects, whatever its source; `None` if a complete read is
-    /// due.
+    /// Store revision that the state reflects; `None` if a complete read is due.
     revision: Option<u64>,
     /// Incarnation of the relay and number of its last event; `None` before its first reply.
     relay: Option<(u64, u64)>,
