entry: log each failed and each slow call for changes, and the plan behind a 404; metrics of plan and state age

Change: change-source-lost for each failed call with took_ms and belief_age_ms; change-call-slow with took_ms, bytes, events and revisions; plan and belief_age_ms in request-refused; revision in plan-in-force; jackdaw_plan_version, jackdaw_state_age_seconds, jackdaw_change_calls_total. No decision changes.

--- a/crates/entry/src/change_relay.rs
+++ b/crates/entry/src/change_relay.rs
@@ -216,6 +216,16 @@
     Relay(VmName, SocketAddr),
 }
 
+impl ChangeSource {
+    /// Whether it is the `store` or a `relay`, for metrics.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Store => "store",
+            Self::Relay(..) => "relay",
+        }
+    }
+}
+
 /// Selects the source of changes and backs off from sources that failed.
 #[derive(Debug)]
 pub struct SourceSelector {
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -1,6 +1,8 @@
 //! Metrics of the entry process.
 
-use prometheus::{Histogram, HistogramOpts, IntCounterVec, Opts, Registry};
+use std::time::Duration;
+
+use prometheus::{Gauge, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry};
 
 const LATENCY_BUCKETS_SECONDS: [f64; 12] =
     [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2.0, 4.0];
@@ -16,6 +18,21 @@
     pub failed_sends: IntCounterVec,
     /// Seconds from a request's arrival to its final answer.
     pub latency: Histogram,
+    /// Calls for changes of the state, by source (`store` or `relay`) and end (`changes`, `complete`,
+    /// `gap` or `failed`).
+    pub change_calls: IntCounterVec,
+    /// Version of the plan in force; 0 before the first.
+    pub plan_version: IntGauge,
+    /// Seconds since the store last confirmed the cached state.
+    pub state_age: Gauge,
+}
+
+impl EntryMetrics {
+    /// Sets the gauges of the cached state.
+    pub fn note_state(&self, plan_version: u64, age: Duration) {
+        self.plan_version.set(i64::try_from(plan_version).unwrap_or(i64::MAX));
+        self.state_age.set(age.as_secs_f64());
+    }
 }
 
 impl Default for EntryMetrics {
@@ -31,17 +48,31 @@
             "Seconds from a request's arrival to its final answer.",
         )
         .buckets(LATENCY_BUCKETS_SECONDS.to_vec());
+        let change_calls =
+            Opts::new("jackdaw_change_calls_total", "Calls for changes, by source and end.");
+        let plan_version = Opts::new("jackdaw_plan_version", "Version of the plan in force.");
+        let state_age = Opts::new(
+            "jackdaw_state_age_seconds",
+            "Seconds since the store last confirmed the cached state.",
+        );
         // None of these can fail at run time, as names and labels are constants.
         let metrics = Self {
             outcomes: IntCounterVec::new(outcomes, &["route", "outcome"]).expect("valid metric"),
             failed_sends: IntCounterVec::new(failed_sends, &["end"]).expect("valid metric"),
             latency: Histogram::with_opts(latency).expect("valid metric"),
+            change_calls: IntCounterVec::new(change_calls, &["source", "end"])
+                .expect("valid metric"),
+            plan_version: IntGauge::with_opts(plan_version).expect("valid metric"),
+            state_age: Gauge::with_opts(state_age).expect("valid metric"),
             registry,
         };
-        let collectors: [Box<dyn prometheus::core::Collector>; 3] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 6] = [
             Box::new(metrics.outcomes.clone()),
             Box::new(metrics.failed_sends.clone()),
             Box::new(metrics.latency.clone()),
+            Box::new(metrics.change_calls.clone()),
+            Box::new(metrics.plan_version.clone()),
+            Box::new(metrics.state_age.clone()),
         ];
         for collector in collectors {
             metrics.registry.register(collector).expect("metric registered once");
--- a/crates/entry/src/ports.rs
+++ b/crates/entry/src/ports.rs
@@ -81,6 +81,8 @@
     pub revision: u64,
     /// Whether the store left out a revision up to that one.
     pub has_gap: bool,
+    /// Bytes of the store's answers that it was read from.
+    pub n_bytes: usize,
     /// The changes, without items that do not concern the entry.
     pub events: Vec<ChangeEvent>,
 }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -76,10 +76,12 @@
     info!(log, "started"; "vm" => %settings.vm, "domain" => %settings.domain,
         "incarnation" => incarnation, "store" => %settings.store, "callers" => %settings.callers);
     let server_reports = ReportCache::default();
+    let metrics = EntryMetrics::default();
     let (stop_sender, stop) = watch::channel(false);
     let control = {
         let (settings, channel, log) = (settings.clone(), channel.clone(), log.clone());
         let (format, stop, server_reports) = (format.clone(), stop.clone(), server_reports.clone());
+        let metrics = metrics.clone();
         thread::Builder::new().name("control".to_owned()).spawn(move || {
             let parts = ControlParts {
                 settings,
@@ -90,12 +92,12 @@
                 channel,
                 relay_log,
                 server_reports,
+                metrics,
                 stop,
             };
             run_control(parts, log)
         })?
     };
-    let metrics = EntryMetrics::default();
     let traffic = Rc::new(TrafficServer::new(TrafficParts {
         format,
         settings: settings.clone(),
@@ -134,6 +136,7 @@
     channel: SnapshotChannel,
     relay_log: RelayLog,
     server_reports: ReportCache,
+    metrics: EntryMetrics,
     stop: watch::Receiver<bool>,
 }
 
@@ -156,6 +159,7 @@
             channel,
             relay_log,
             server_reports,
+            metrics,
             stop,
         } = parts;
         let cache = Rc::new(RefCell::new(StateCache::new(log.clone())));
@@ -167,6 +171,7 @@
             channel: channel.clone(),
             selector: SourceSelector::new(settings.vm.clone(), settings.domain.clone()),
             clock,
+            metrics,
             log: log.clone(),
         };
         tokio::task::spawn_local(follower.run());
@@ -298,7 +303,12 @@
     let operator_page = {
         let channel = channel.clone();
         move |path: &str| match path {
-            "/metrics" => (StatusCode::OK, telemetry::render(&metrics.registry)),
+            "/metrics" => {
+                let snapshot = channel.current();
+                let version = snapshot.plan.as_ref().map_or(0, |it| it.version);
+                metrics.note_state(version, clock.now().since(snapshot.synced_at));
+                (StatusCode::OK, telemetry::render(&metrics.registry))
+            }
             "/dump" => (StatusCode::OK, format!("{:#?}\n", channel.current())),
             _ => (StatusCode::NOT_FOUND, String::new()),
         }
--- a/crates/entry/src/state_cache.rs
+++ b/crates/entry/src/state_cache.rs
@@ -186,7 +186,8 @@
                 if plan.version <= cached {
                     return false;
                 }
-                info!(self.log, "plan-in-force"; "version" => plan.version, "previous" => cached);
+                info!(self.log, "plan-in-force"; "version" => plan.version, "previous" => cached,
+                    "revision" => self.snapshot.revision);
                 self.snapshot.plan = Some(Arc::new(plan));
                 true
             }
--- a/crates/entry/src/state_sync.rs
+++ b/crates/entry/src/state_sync.rs
@@ -12,7 +12,7 @@
 };
 
 use crate::{
-    ChangeBatch, StateSnapshot, StateStore, StoreError,
+    ChangeBatch, EntryMetrics, StateSnapshot, StateStore, StoreError,
     change_relay::{
         ChangeSource, MAX_RELAY_AGE, RELAY_WAIT, RelayLog, RelayRequest, SourceSelector,
     },
@@ -44,6 +44,9 @@
 /// Delay after a failed call.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// Duration beyond which an answered call is logged: the longest wait for a change and a little more.
+const SLOW_CALL: Duration = Duration::from_millis(900);
+
 /// Time after the start of the process for which it waits for its relay rather than reading the
 /// complete state from the store: a relay that started at the same moment has to read it first.
 const RELAY_START_TIME: Duration = Duration::from_millis(1_500);
@@ -111,6 +114,8 @@
     pub selector: SourceSelector,
     /// Monotonic clock that all threads of the process share.
     pub clock: ProcessClock,
+    /// Metrics that the calls are counted in.
+    pub metrics: EntryMetrics,
     /// Receives events about the source.
     pub log: Logger,
 }
@@ -166,6 +171,7 @@
                     if std::mem::replace(&mut is_lost, false) {
                         info!(self.log, "change-source-recovered"; "source" => ?source);
                     }
+                    self.note_call(&source, &batch, now.since(called_at));
                     self.apply_batch(batch, &mut position, now);
                     let interval = match source {
                         ChangeSource::Store => CALL_INTERVAL,
@@ -181,9 +187,8 @@
                     sleep(RETRY_DELAY).await;
                 }
                 Err(err) => {
-                    if !std::mem::replace(&mut is_lost, true) {
-                        warn!(self.log, "change-source-lost"; "source" => ?source, "cause" => %err);
-                    }
+                    is_lost = true;
+                    self.note_failed_call(&source, &err, now.since(called_at), now);
                     if source == ChangeSource::Store {
                         self.cache.borrow_mut().note_store_failure(now);
                     }
@@ -194,6 +199,36 @@
         }
     }
 
+    /// Counts an answered call; logs it if it took long.
+    fn note_call(&self, source: &ChangeSource, answer: &SourceBatch, took: Duration) {
+        let SourceBatch { batch, is_complete, .. } = answer;
+        let end = match () {
+            () if batch.has_gap => "gap",
+            () if *is_complete => "complete",
+            () => "changes",
+        };
+        self.metrics.change_calls.with_label_values(&[source.kind(), end]).inc();
+        if took > SLOW_CALL {
+            info!(self.log, "change-call-slow"; "source" => ?source, "end" => end,
+                "took_ms" => took.as_millis() as u64, "events" => batch.events.len(),
+                "bytes" => batch.n_bytes, "to_revision" => batch.revision,
+                "from_revision" => self.cache.borrow().snapshot().revision);
+        }
+    }
+
+    fn note_failed_call(
+        &self,
+        source: &ChangeSource,
+        err: &StoreError,
+        took: Duration,
+        now: MonoTime,
+    ) {
+        self.metrics.change_calls.with_label_values(&[source.kind(), "failed"]).inc();
+        let age = now.since(self.cache.borrow().snapshot().synced_at);
+        warn!(self.log, "change-source-lost"; "source" => ?source, "cause" => %err,
+            "took_ms" => took.as_millis() as u64, "belief_age_ms" => age.as_millis() as u64);
+    }
+
     /// Reads which VMs there are, so that the complete state can be taken from this VM's relay.
     ///
     /// Load pattern: all VMs start at the same moment, and the complete state for each of them would
--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -381,8 +381,11 @@
     /// Refuses a request that has no route, service or key, or that came before the first plan.
     fn refuse_unrouted(&self, id: &HeaderValue, status: StatusCode, cause: &str) -> CallerAnswer {
         self.metrics.outcomes.with_label_values(&["-", cause]).inc();
+        let snapshot = self.channel.current();
         info!(self.log, "request-refused"; "id" => id.to_str().unwrap_or("-"),
-            "status" => status.as_u16(), "cause" => cause);
+            "status" => status.as_u16(), "cause" => cause,
+            "plan" => snapshot.plan.as_ref().map_or(0, |it| it.version),
+            "belief_age_ms" => self.clock.now().since(snapshot.synced_at).as_millis() as u64);
         self.local_answer(id, status)
     }
 
