--- a/crates/entry/src/state_cache.rs
+++ b/crates/entry/src/state_cache.rs
@@ -229,10 +229,11 @@
             {
                 let was_draining = cached.draining_since.is_some();
                 let was_missing = std::mem::take(&mut cached.is_missing);
+                let is_cold = cold_until > now;
                 let is_changed = was_missing
                     || was_draining != entry.is_draining
-                    || (cached.cold_until > now) != (cold_until > now)
-                    || cold_until > cached.cold_until + COLD_TIME_TOLERANCE
+                    || (cached.cold_until > now) != is_cold
+                    || (is_cold && cold_until > cached.cold_until + COLD_TIME_TOLERANCE)
                     || cached.entry.service != entry.service;
                 // A server that is still draining keeps its time; within the same instance, only an
                 // entry that is not draining clears it.
--- a/crates/entry/tests/it/state_cache.rs
+++ b/crates/entry/tests/it/state_cache.rs
@@ -250,3 +250,15 @@
     cache.apply_changes(cold(3_000), at(2_000));
     assert_eq!(cache.take_changes().len(), 1);
 }
+
+/// Load pattern: VMs read the complete state again when their source of changes becomes another one,
+/// and relay what has changed. Each warm server counted as changed, so that relays sent hundreds of
+/// servers to each VM of their domain and had no room for other changes.
+#[test]
+fn a_warm_server_that_is_read_again_is_not_relayed() {
+    let mut cache = cache();
+    cache.apply_complete(batch(1, &["one", "two"]), at(0));
+    cache.take_changes();
+    cache.apply_complete(batch(2, &["one", "two"]), at(2_000));
+    assert_eq!(cache.take_changes(), []);
+}
