entry: relay every changed field of a server

Cause: a relay passed on a server's entry only if its state, warmth or service had changed; a follower kept its former slots and domain until its next complete read. Evidence: every_changed_field_of_a_server_is_relayed failed before for slots and domain. Change: anything but the remaining warm-up time counts.

--- a/crates/entry/src/ports.rs
+++ b/crates/entry/src/ports.rs
@@ -32,6 +32,13 @@
     pub born: u64,
 }
 
+impl ServerEntry {
+    /// Whether both are equal but for the remaining warm-up time, which each report shows anew.
+    pub fn is_equal_but_for_cold_time(&self, other: &Self) -> bool {
+        *self == Self { cold_left: self.cold_left, ..other.clone() }
+    }
+}
+
 /// A change of the state, from the store's change stream or from another VM.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum ChangeEvent {
--- a/crates/entry/src/state_cache.rs
+++ b/crates/entry/src/state_cache.rs
@@ -227,14 +227,12 @@
             Some(cached)
                 if cached.entry.born == entry.born && cached.entry.address == entry.address =>
             {
-                let was_draining = cached.draining_since.is_some();
                 let was_missing = std::mem::take(&mut cached.is_missing);
                 let is_cold = cold_until > now;
                 let is_changed = was_missing
-                    || was_draining != entry.is_draining
+                    || !cached.entry.is_equal_but_for_cold_time(&entry)
                     || (cached.cold_until > now) != is_cold
-                    || (is_cold && cold_until > cached.cold_until + COLD_TIME_TOLERANCE)
-                    || cached.entry.service != entry.service;
+                    || (is_cold && cold_until > cached.cold_until + COLD_TIME_TOLERANCE);
                 // A server that is still draining keeps its time; within the same instance, only an
                 // entry that is not draining clears it.
                 cached.draining_since = match (cached.draining_since, draining_since) {
--- a/crates/entry/tests/it/state_cache.rs
+++ b/crates/entry/tests/it/state_cache.rs
@@ -262,3 +262,24 @@
     cache.apply_complete(batch(2, &["one", "two"]), at(2_000));
     assert_eq!(cache.take_changes(), []);
 }
+
+/// Guards against followers that keep what a server published before: only the VM that watches the
+/// store learned that it has fewer slots or belongs to another failure domain.
+#[test]
+fn every_changed_field_of_a_server_is_relayed() {
+    let changed = [
+        ServerEntry { slots: 2, ..server("one") },
+        ServerEntry { domain: "west-b".try_into().expect("a name"), ..server("one") },
+        ServerEntry { service: "queue".try_into().expect("a name"), ..server("one") },
+        ServerEntry { is_draining: true, ..server("one") },
+        ServerEntry { born: 8, ..server("one") },
+    ];
+    for entry in changed {
+        let mut cache = cache();
+        cache.apply_changes(batch(1, &["one"]), at(0));
+        cache.take_changes();
+        let event = ChangeEvent::Server(entry.name.clone(), Some(entry));
+        cache.apply_changes(records(2, vec![event.clone()]), at(10));
+        assert_eq!(cache.take_changes(), [event]);
+    }
+}
