entry: index a server again when it changes its service

Cause: the index of servers by service was rebuilt only when servers joined or left. Evidence: a_server_that_changes_its_service_is_usable_for_the_new_one_only failed before.

--- a/crates/entry/src/state_cache.rs
+++ b/crates/entry/src/state_cache.rs
@@ -240,6 +240,7 @@
                     (_, it) => it,
                 };
                 cached.cold_until = cold_until;
+                self.is_index_stale |= cached.entry.service != entry.service;
                 if cached.entry.as_ref() != &entry {
                     cached.entry = Arc::new(entry);
                 }
--- a/crates/entry/tests/it/state_cache.rs
+++ b/crates/entry/tests/it/state_cache.rs
@@ -283,3 +283,17 @@
         assert_eq!(cache.take_changes(), [event]);
     }
 }
+
+/// Guards against a server that is counted under its former service, so that it gets that service's
+/// requests.
+#[test]
+fn a_server_that_changes_its_service_is_usable_for_the_new_one_only() {
+    let mut cache = cache();
+    cache.apply_changes(batch(1, &["one"]), at(0));
+    let queue = ServiceName::try_from("queue").expect("a name");
+    let entry = ServerEntry { service: queue.clone(), ..server("one") };
+    let event = ChangeEvent::Server(entry.name.clone(), Some(entry));
+    cache.apply_changes(records(2, vec![event]), at(10));
+    assert_eq!(usable(&cache), Vec::<String>::new());
+    assert_eq!(cache.snapshot().usable(&queue).count(), 1);
+}
