platform: let one call, not each in turn, find that open connections to the store have gone silent

Cause: a call that got no answer dropped its own connection only; the next call took the next silent one from the pool. Evidence: only_one_call_fails_when_all_open_connections_to_the_store_have_gone_silent failed before: the second call timed out as well. Change: after a call without an answer, idle connections that have brought no answer since it was sent are closed. A slow store costs a new connection, which is not priced. Remains: the time limits and backoffs of the callers of this client.

--- a/crates/entry/src/connections.rs
+++ b/crates/entry/src/connections.rs
@@ -135,6 +135,8 @@
     meter: ReadMeter,
     /// Time until which the connection may be reused; unknown before the first answer.
     usable_until: Option<MonoTime>,
+    /// When the last answer had arrived; `None` before the first.
+    answered_at: Option<MonoTime>,
 }
 
 impl Drop for HttpConnection {
@@ -178,7 +180,7 @@
             let _ = connection.await;
         });
         let number = ConnectionNumber::next();
-        Ok(Self { number, peer, sender, driver, meter, usable_until: None })
+        Ok(Self { number, peer, sender, driver, meter, usable_until: None, answered_at: None })
     }
 
     /// The connection's number.
@@ -222,7 +224,9 @@
         };
         let (head, body) = response.into_parts();
         let body = body.collect().await.map_err(|err| answer_error("read-answer", err))?.to_bytes();
-        self.usable_until = Some(now() + keep_alive_time(&head.headers));
+        let answered_at = now();
+        self.answered_at = Some(answered_at);
+        self.usable_until = Some(answered_at + keep_alive_time(&head.headers));
         Ok(HttpAnswer { status: head.status, headers: head.headers, body })
     }
 }
@@ -277,6 +281,14 @@
         self.idle.retain(|_, it| !it.is_empty());
     }
 
+    /// Closes the idle connections to `peer` that have brought no answer since `since`, when a call
+    /// was sent that got none: whatever made its connection silent may have affected them as well.
+    pub fn close_silent(&mut self, peer: SocketAddr, since: MonoTime) {
+        if let Some(idle) = self.idle.get_mut(&peer) {
+            idle.retain(|it| it.answered_at.is_some_and(|at| at >= since));
+        }
+    }
+
     /// Closes all idle connections to `peer`.
     pub fn close(&mut self, peer: SocketAddr) {
         self.idle.remove(&peer);
