--- a/crates/entry/src/change_relay.rs
+++ b/crates/entry/src/change_relay.rs
@@ -1,15 +1,17 @@
 //! Relays the store's change stream: one VM per failure domain watches the store, and the others
 //! long-poll it or, if it fails, the next, so that the number of calls to the store does not grow
 //! with the fleet.
+//!
+//! The store's revision is the position of every VM in the stream, whatever its source: a VM whose
+//! state is complete up to a revision can go on with any other relay, or with the store.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, VecDeque},
-    net::SocketAddr,
+    collections::VecDeque,
     sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
-use model::{DomainName, MonoTime, VmName};
+use model::{MonoTime, VmName};
 use peer::{PeerService, TypedRequest};
 use serde::{Deserialize, Serialize};
 use settings::ProcessClock;
@@ -17,32 +19,54 @@
 
 use crate::{ChangeEvent, StateSnapshot};
 
-/// Number of VMs of a failure domain that the others use as relays, one after the other. Each of
-/// them follows those before it, and watches the store itself once they have failed.
-const RELAYS_PER_DOMAIN: usize = 3;
-
 /// Number of recent events kept for VMs that were briefly disconnected.
 const MAX_KEPT_EVENTS: usize = 512;
 
 /// Longest time for which a relay holds a request until there is a change.
-pub const RELAY_WAIT: Duration = Duration::from_millis(300);
-
-/// Age of a relay's state beyond which VMs use another source.
-pub const MAX_RELAY_AGE: Duration = Duration::from_millis(1_100);
+const MAX_RELAY_WAIT: Duration = Duration::from_millis(5_000);
 
-/// Backoff after a failed call to a relay.
-const RELAY_BACKOFF: Duration = Duration::from_millis(3_000);
-
-/// Requests the events after number `after`.
+/// Requests the changes that the caller's state does not contain.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct RelayRequest {
-    /// Incarnation of the relay that sent the last events; 0 before the first reply.
+    /// Incarnation of the relay that sent the last batches; 0 before the first reply.
     pub incarnation: u64,
-    /// Number of the last event received.
+    /// Number of the last batch received.
     pub after: u64,
-    /// Store revision that the caller's state reflects; 0 if it needs the complete state. With it, a
-    /// relay that the caller has not used before can send the changes alone.
+    /// Store revision up to which the caller's state is complete; 0 if it needs the complete state.
     pub revision: u64,
+    /// Milliseconds for which the relay may hold the request until there is a change.
+    pub wait_ms: u64,
+    /// Age in milliseconds beyond which the caller can't use the relay's state.
+    pub max_age_ms: u64,
+}
+
+impl RelayRequest {
+    fn max_age(&self) -> Duration {
+        Duration::from_millis(self.max_age_ms)
+    }
+}
+
+/// Changes that took a relay's state from one store revision to another.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct RelayBatch {
+    /// Revision of the state before the changes.
+    pub from: u64,
+    /// Revision of the state after them.
+    pub to: u64,
+    /// Whether the events are the difference between two states, without what was changed in between
+    /// and changed back.
+    pub is_difference: bool,
+    /// Events in the order in which they were applied.
+    pub events: Vec<ChangeEvent>,
+}
+
+/// What a relay sends to a caller.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum RelayedChanges {
+    /// The complete state.
+    Complete(Arc<Vec<ChangeEvent>>),
+    /// The changes since the caller's revision; empty if none came within the wait time.
+    Since(Vec<RelayBatch>),
 }
 
 /// Reply of a relay to a [`RelayRequest`].
@@ -50,16 +74,34 @@
 pub struct RelayReply {
     /// Incarnation of the relay's process.
     pub incarnation: u64,
-    /// Number of the last event.
+    /// Number of the last batch.
     pub last: u64,
-    /// Whether the events are the complete state rather than changes.
-    pub is_complete: bool,
-    /// Events in the order in which they were applied; empty if none came within the wait time.
-    pub events: Arc<Vec<ChangeEvent>>,
-    /// Milliseconds since the store last answered the relay, or the relay that it uses itself.
+    /// What the caller's state does not contain.
+    pub changes: RelayedChanges,
+    /// Milliseconds since the store last confirmed the relay's state.
     pub age_ms: u64,
-    /// Newest store revision in the relay's state.
+    /// Milliseconds for which the relay held the request.
+    pub held_ms: u64,
+    /// Store revision up to which the relay's state is complete.
     pub revision: u64,
+    /// VMs through which the relay gets its own changes, the nearest first; empty if it calls the
+    /// store.
+    pub path: Vec<VmName>,
+}
+
+impl RelayReply {
+    /// Whether it has the complete state.
+    pub fn is_complete(&self) -> bool {
+        matches!(self.changes, RelayedChanges::Complete(_))
+    }
+
+    /// All events, in order.
+    pub fn events(&self) -> Vec<&ChangeEvent> {
+        match &self.changes {
+            RelayedChanges::Complete(events) => events.iter().collect(),
+            RelayedChanges::Since(batches) => batches.iter().flat_map(|it| &it.events).collect(),
+        }
+    }
 }
 
 impl TypedRequest for RelayRequest {
@@ -79,10 +121,13 @@
 struct RelayState {
     synced_at: MonoTime,
     revision: u64,
+    path: Vec<VmName>,
+    /// Number of the last batch.
     last: u64,
-    /// Recent events, each with the store revision from which on a state contains it.
-    changes: VecDeque<(u64, ChangeEvent)>,
-    /// Newest revision of the events that are no longer kept.
+    batches: VecDeque<RelayBatch>,
+    /// Events of all kept batches.
+    n_events: usize,
+    /// Revision of the newest batch that is no longer kept.
     dropped_revision: u64,
     snapshot: Arc<StateSnapshot>,
     complete: Option<CompleteState>,
@@ -91,7 +136,7 @@
 /// The complete state as events. A relay that starts sends it to all VMs of its domain at once.
 #[derive(Debug, Clone)]
 struct CompleteState {
-    /// Number of the last event that it contains.
+    /// Number of the last batch that it contains.
     last: u64,
     built_at: MonoTime,
     events: Arc<Vec<ChangeEvent>>,
@@ -105,6 +150,15 @@
 const COMPLETE_STATE_LIFETIME: Duration = Duration::from_millis(500);
 
 impl RelayState {
+    /// Time since the store last confirmed the state.
+    fn age(&self, now: MonoTime) -> Duration {
+        match self.revision {
+            // Before it has read the store, this VM has no state, whatever its clock shows.
+            0 => UNSYNCED_AGE,
+            _ => now.since(self.synced_at),
+        }
+    }
+
     /// The complete state at `now`.
     fn complete_events(&mut self, now: MonoTime) -> Arc<Vec<ChangeEvent>> {
         let last = self.last;
@@ -118,6 +172,40 @@
         self.complete = Some(CompleteState { last, built_at: now, events: events.clone() });
         events
     }
+
+    /// Appends a batch, and drops the oldest ones beyond the limit.
+    fn push(&mut self, batch: RelayBatch) {
+        self.last += 1;
+        self.n_events += batch.events.len();
+        self.batches.push_back(batch);
+        let is_too_long =
+            |it: &Self| it.n_events > MAX_KEPT_EVENTS || it.batches.len() > MAX_KEPT_EVENTS;
+        while is_too_long(self)
+            && let Some(dropped) = self.batches.pop_front()
+        {
+            self.n_events -= dropped.events.len();
+            self.dropped_revision = self.dropped_revision.max(dropped.to);
+        }
+    }
+
+    /// The kept batches that the caller's state does not contain; `None` if they don't lead from its
+    /// revision to the current one, so that it needs the complete state.
+    fn batches_for(&self, request: &RelayRequest, is_followed: bool) -> Option<Vec<RelayBatch>> {
+        let revision = request.revision;
+        if revision == 0 || revision < self.dropped_revision {
+            return None;
+        }
+        let n_received = match is_followed {
+            true => self.batches.len() - self.last.saturating_sub(request.after) as usize,
+            false => 0,
+        };
+        let missing = self.batches.iter().skip(n_received).filter(|it| it.to > revision);
+        let missing: Vec<&RelayBatch> = missing.collect();
+        match missing.iter().any(|it| it.is_difference && it.from < revision) {
+            true => None,
+            false => Some(missing.into_iter().cloned().collect()),
+        }
+    }
 }
 
 impl RelayLog {
@@ -130,66 +218,59 @@
         self.state.lock().unwrap_or_else(|it| it.into_inner())
     }
 
+    /// Sets the VMs through which this VM gets its changes, the nearest first.
+    pub fn set_path(&self, path: Vec<VmName>) {
+        self.lock().path = path;
+    }
+
     /// Appends changes, with the state after them.
-    pub fn add(&self, changes: Vec<ChangeEvent>, snapshot: &StateSnapshot) {
+    ///
+    /// Events whose own revision is newer than that state were applied ahead of the store's change
+    /// stream. They become batches of their own, as the state lacks other changes up to there.
+    pub fn add(&self, batch: RelayBatch, snapshot: &StateSnapshot) {
         let mut state = self.lock();
         state.synced_at = snapshot.synced_at;
         state.revision = snapshot.revision;
-        if changes.is_empty() {
-            return;
+        let is_ahead = |it: &ChangeEvent| it.revision().is_some_and(|it| it > batch.to);
+        let (ahead, events): (Vec<_>, Vec<_>) = batch.events.into_iter().partition(is_ahead);
+        let has_events = !ahead.is_empty() || !events.is_empty();
+        let is_jump = batch.is_difference && batch.from < batch.to;
+        if !events.is_empty() || is_jump {
+            state.push(RelayBatch { events, ..batch });
         }
-        state.last += changes.len() as u64;
-        state.changes.extend(changes.into_iter().map(|event| {
-            // Some events are applied ahead of the store's change stream.
-            let revision = event.revision().unwrap_or_default().max(snapshot.revision);
-            (revision, event)
-        }));
-        while state.changes.len() > MAX_KEPT_EVENTS
-            && let Some((revision, _)) = state.changes.pop_front()
-        {
-            state.dropped_revision = state.dropped_revision.max(revision);
+        for event in ahead {
+            let to = event.revision().unwrap_or(batch.to);
+            state.push(RelayBatch { from: to, to, is_difference: false, events: vec![event] });
+        }
+        if has_events || is_jump {
+            state.snapshot = Arc::new(snapshot.clone());
         }
-        state.snapshot = Arc::new(snapshot.clone());
         let last = state.last;
         drop(state);
-        self.last.send_replace(last);
+        self.last.send_if_modified(|it| std::mem::replace(it, last) != last);
     }
 
     /// Builds the reply without waiting.
-    fn reply(&self, request: &RelayRequest) -> RelayReply {
+    fn reply(&self, request: &RelayRequest, held: Duration) -> RelayReply {
         let now = self.clock.now();
         let mut state = self.lock();
-        // Before it has read the store, this VM has no state, whatever its clock shows.
-        let age = match state.revision {
-            0 => UNSYNCED_AGE,
-            _ => now.since(state.synced_at),
-        };
-        let n_new = state.last.saturating_sub(request.after);
+        let age = state.age(now);
         let is_followed = request.incarnation == self.incarnation
             && request.after <= state.last
-            && n_new <= state.changes.len() as u64;
-        let is_kept = request.revision > 0 && request.revision >= state.dropped_revision;
-        let (is_complete, events) = match () {
-            // The caller refuses it for its age.
-            () if age > MAX_RELAY_AGE => (false, Arc::default()),
-            () if is_followed => {
-                let n_old = state.changes.len() - n_new as usize;
-                let new = state.changes.iter().skip(n_old).map(|(_, it)| it.clone());
-                (false, Arc::new(new.collect()))
-            }
-            () if is_kept => {
-                let newer = state.changes.iter().filter(|(it, _)| *it > request.revision);
-                (false, Arc::new(newer.map(|(_, it)| it.clone()).collect()))
-            }
-            () => (true, state.complete_events(now)),
+            && state.last - request.after <= state.batches.len() as u64;
+        let changes = match state.batches_for(request, is_followed) {
+            _ if age > request.max_age() => RelayedChanges::Since(Vec::new()),
+            Some(batches) => RelayedChanges::Since(batches),
+            None => RelayedChanges::Complete(state.complete_events(now)),
         };
         RelayReply {
             incarnation: self.incarnation,
             last: state.last,
-            is_complete,
-            events,
+            changes,
             age_ms: age.as_millis() as u64,
+            held_ms: held.as_millis() as u64,
             revision: state.revision,
+            path: state.path.clone(),
         }
     }
 }
@@ -198,119 +279,15 @@
     type Request = RelayRequest;
 
     async fn answer(&self, request: RelayRequest) -> RelayReply {
+        let arrived = self.clock.now();
         let mut last = self.last.subscribe();
         if request.incarnation == self.incarnation {
+            let wait = Duration::from_millis(request.wait_ms).min(MAX_RELAY_WAIT);
+            // The caller has to learn at once that it can't use this state any more.
+            let wait = wait.min(request.max_age().saturating_sub(self.lock().age(arrived)));
             // An empty reply after the wait still shows the caller that this VM is alive.
-            let _ = timeout(RELAY_WAIT, last.wait_for(|it| *it > request.after)).await;
-        }
-        self.reply(&request)
-    }
-}
-
-/// Source of a VM's changes.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum ChangeSource {
-    /// The store itself.
-    Store,
-    /// Another VM, which watches the store, and its relay address.
-    Relay(VmName, SocketAddr),
-}
-
-impl ChangeSource {
-    /// Whether it is the `store` or a `relay`, for metrics.
-    pub fn kind(&self) -> &'static str {
-        match self {
-            Self::Store => "store",
-            Self::Relay(..) => "relay",
+            let _ = timeout(wait, last.wait_for(|it| *it > request.after)).await;
         }
+        self.reply(&request, self.clock.now().since(arrived))
     }
 }
-
-/// Selects the source of changes and backs off from sources that failed.
-#[derive(Debug)]
-pub struct SourceSelector {
-    vm: VmName,
-    domain: DomainName,
-    retry_at: BTreeMap<VmName, MonoTime>,
-    store_retry_at: MonoTime,
-    /// Whether this VM watches the store on behalf of its domain, or its own presence record is not
-    /// known yet.
-    is_watcher: bool,
-}
-
-impl SourceSelector {
-    /// Creates a selector for `vm` in `domain`, without any backoff.
-    pub fn new(vm: VmName, domain: DomainName) -> Self {
-        let store_retry_at = MonoTime::default();
-        Self { vm, domain, retry_at: BTreeMap::new(), store_retry_at, is_watcher: true }
-    }
-
-    /// Whether the snapshot lists this VM.
-    pub fn is_listed(&self, snapshot: &StateSnapshot) -> bool {
-        snapshot.vms.contains_key(&self.vm)
-    }
-
-    /// Selects the source to use now; `None` while all sources are backed off.
-    ///
-    /// Load pattern: a relay fails for some or all VMs of its domain for a moment. If they turned to
-    /// the store for the time of their backoff, it would get a watch from each of them.
-    pub fn select(&mut self, snapshot: &StateSnapshot, now: MonoTime) -> Option<ChangeSource> {
-        let is_known = self.is_listed(snapshot);
-        let own_relay = self.first_relay(snapshot, &self.domain, now).filter(|_| is_known);
-        let is_first = snapshot.relays(&self.domain).first() == Some(&&self.vm);
-        self.is_watcher = is_first || !is_known;
-        let is_store_usable = now >= self.store_retry_at;
-        match own_relay {
-            Some(vm) if *vm != self.vm => self.source_at(snapshot, vm),
-            _ if is_store_usable => Some(ChangeSource::Store),
-            _ => {
-                let domains: BTreeSet<&DomainName> = snapshot
-                    .vms
-                    .values()
-                    .map(|it| &it.domain)
-                    .filter(|it| !is_known || **it != self.domain)
-                    .collect();
-                let relays = domains.iter().map(|it| self.first_relay(snapshot, it, now));
-                let vm = relays.flatten().find(|it| **it != self.vm)?;
-                self.source_at(snapshot, vm)
-            }
-        }
-    }
-
-    /// The first relay of `domain` that this VM has not backed off from; may be this VM itself.
-    fn first_relay<'a>(
-        &self,
-        snapshot: &'a StateSnapshot,
-        domain: &DomainName,
-        now: MonoTime,
-    ) -> Option<&'a VmName> {
-        let relays = snapshot.relays(domain).into_iter().take(RELAYS_PER_DOMAIN);
-        let is_usable = |it: &&VmName| self.retry_at.get(*it).is_none_or(|until| now >= *until);
-        relays.into_iter().find(is_usable)
-    }
-
-    fn source_at(&self, snapshot: &StateSnapshot, vm: &VmName) -> Option<ChangeSource> {
-        Some(ChangeSource::Relay(vm.clone(), snapshot.vms.get(vm)?.relay))
-    }
-
-    /// Backs off from a source that failed.
-    pub fn record_failure(&mut self, source: &ChangeSource, now: MonoTime) {
-        match source {
-            ChangeSource::Store => {
-                let backoff = if self.is_watcher { WATCHER_BACKOFF } else { NON_WATCHER_BACKOFF };
-                self.store_retry_at = now + backoff;
-            }
-            ChangeSource::Relay(vm, _) => {
-                self.retry_at.insert(vm.clone(), now + RELAY_BACKOFF);
-            }
-        }
-    }
-}
-
-/// Backoff of a store watcher after a failed call to the store; meanwhile it uses the relay of
-/// another domain, if there is one.
-const WATCHER_BACKOFF: Duration = Duration::from_millis(1_000);
-
-/// Backoff of other VMs, which no VM depends on. It is longer so that mainly the watchers call the
-/// store during an outage.
-const NON_WATCHER_BACKOFF: Duration = Duration::from_millis(2_500);
--- a/crates/entry/src/connections.rs
+++ b/crates/entry/src/connections.rs
@@ -48,6 +48,8 @@
     pub headers: HeaderMap,
     /// Complete body.
     pub body: Bytes,
+    /// When the head had arrived; a long body takes longer.
+    pub head_at: MonoTime,
 }
 
 /// Why an exchange brought no answer.
@@ -193,7 +195,8 @@
         self.sender.is_ready() && self.usable_until.is_none_or(|it| now < it)
     }
 
-    /// Sends one request and reads the complete answer; `now` is called once that has arrived.
+    /// Sends one request and reads the complete answer; `now` is called when its head and when all
+    /// of it has arrived.
     ///
     /// # Errors
     /// `NotConnected` if the connection had been closed before the request was written, `Broken` if
@@ -222,12 +225,13 @@
             }
             Err(err) => return Err(answer_error("exchange", err.into_error())),
         };
+        let head_at = now();
         let (head, body) = response.into_parts();
         let body = body.collect().await.map_err(|err| answer_error("read-answer", err))?.to_bytes();
         let answered_at = now();
         self.answered_at = Some(answered_at);
         self.usable_until = Some(answered_at + keep_alive_time(&head.headers));
-        Ok(HttpAnswer { status: head.status, headers: head.headers, body })
+        Ok(HttpAnswer { status: head.status, headers: head.headers, body, head_at })
     }
 }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod assigner;
 mod change_relay;
+mod change_timing;
 mod connections;
 mod datagram_tasks;
 mod datagrams;
@@ -21,13 +22,16 @@
 mod server_reports;
 mod settings_file;
 mod snapshot;
+mod snapshot_channel;
+mod source_selector;
 mod state_cache;
 mod state_sync;
 mod stats;
 mod traffic;
 
 pub use assigner::{AssignerParts, KeyAssigner, KeyedLoads, SharedLoads};
-pub use change_relay::{ChangeSource, RelayLog, RelayReply, RelayRequest, SourceSelector};
+pub use change_relay::{RelayBatch, RelayLog, RelayReply, RelayRequest, RelayedChanges};
+pub use change_timing::ChangeTiming;
 pub use connections::{
     ConnectionNumber, ConnectionPool, ExchangeError, HttpAnswer, HttpConnection,
 };
@@ -39,8 +43,8 @@
 pub use metrics::EntryMetrics;
 pub use plan::{CallerLimits, PlanRoute, RoutePlan, RouteTarget, ServiceSettings};
 pub use ports::{
-    ChangeBatch, ChangeEvent, HeaderNames, LeaseId, RecordChange, ServerEntry, ServerFormat,
-    StateStore, StoreError,
+    BatchScope, ChangeBatch, ChangeEvent, HeaderNames, LeaseId, RecordChange, ServerEntry,
+    ServerFormat, StateStore, StoreError,
 };
 pub use run::{SettingsSource, run_entry, run_entry_until};
 pub use server_reports::{OutgoingReports, ReportBatch, ReportCache, ServerReport};
@@ -48,6 +52,8 @@
 pub use snapshot::{
     AssignerRecord, CachedServer, StateSnapshot, StoredAssigner, StoredShards, VmPresence,
 };
+pub use snapshot_channel::SnapshotChannel;
+pub use source_selector::{ChangeSource, SourceFailure, SourceSelector};
 pub use state_cache::StateCache;
-pub use state_sync::SnapshotChannel;
+pub use state_sync::ChangeFollower;
 pub use traffic::{CallerAnswer, CallerRequest, TrafficParts, TrafficServer};
--- a/crates/entry/src/ports.rs
+++ b/crates/entry/src/ports.rs
@@ -81,19 +81,48 @@
     }
 }
 
+/// How completely a batch describes the changes up to its revision.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum BatchScope {
+    /// All changes, up to the state that was current.
+    #[default]
+    Current,
+    /// All changes; there may be more after them.
+    Partial,
+    /// Changes are missing, so that the state is not complete up to the revision.
+    Gap,
+    /// The difference between two states, without what was changed in between and changed back.
+    Difference,
+}
+
 /// Changes in the order of their store revisions.
 #[derive(Debug, Clone, Default)]
 pub struct ChangeBatch {
     /// Revision after which the next watch starts.
     pub revision: u64,
-    /// Whether the store left out a revision up to that one.
-    pub has_gap: bool,
+    /// How completely the events describe the changes up to that revision.
+    pub scope: BatchScope,
+    /// Time since the store was in this state.
+    pub age: Duration,
     /// Bytes of the store's answers that it was read from.
     pub n_bytes: usize,
     /// The changes, without items that do not concern the entry.
     pub events: Vec<ChangeEvent>,
 }
 
+impl ChangeBatch {
+    /// The batch without its events, for a state that contains them already.
+    #[must_use]
+    pub fn without_events(self) -> Self {
+        Self { events: Vec::new(), ..self }
+    }
+
+    /// Whether the state is not the current one after this batch, so that more is to be read at once.
+    pub fn needs_another_read(&self) -> bool {
+        matches!(self.scope, BatchScope::Partial | BatchScope::Gap)
+    }
+}
+
 /// Error of a call to the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum StoreError {
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -16,10 +16,9 @@
 };
 
 use crate::{
-    AssignerParts, EntryMetrics, EntrySettings, KeyAssigner, ReportCache, ServerFormat,
-    SnapshotChannel, StateStore, TrafficParts, TrafficServer, VmPresence,
+    AssignerParts, EntryMetrics, EntrySettings, KeyAssigner, RelayLog, ReportCache, ServerFormat,
+    SnapshotChannel, SourceSelector, StateStore, TrafficParts, TrafficServer, VmPresence,
     assigner::{KeyedLoads, SharedLoads},
-    change_relay::{RelayLog, SourceSelector},
     datagram_tasks::{receive_datagrams, send_router_loads, send_server_reports},
     http_server::{ShutdownPhase, serve_callers, serve_texts},
     presence::maintain_presence,
@@ -170,6 +169,7 @@
             cache: cache.clone(),
             channel: channel.clone(),
             selector: SourceSelector::new(settings.vm.clone(), settings.domain.clone()),
+            timing: settings.change_timing,
             clock,
             metrics,
             log: log.clone(),
--- a/crates/entry/src/settings_file.rs
+++ b/crates/entry/src/settings_file.rs
@@ -6,6 +6,8 @@
 use serde::Deserialize;
 use settings::{SettingError, parse_duration};
 
+use crate::ChangeTiming;
+
 /// Settings as written in the file, before validation.
 #[derive(Debug, Clone, Deserialize)]
 pub struct RawEntrySettings {
@@ -31,6 +33,9 @@
     grace: String,
     /// Time for which a draining server still accepts new work.
     drain: String,
+    /// Time within which a changed route plan must be in force.
+    #[serde(default = "default_plan_deadline")]
+    plan_deadline: String,
     /// Largest answer of a server to a caller's request, in bytes.
     #[serde(default = "default_max_answer_bytes")]
     max_answer_bytes: usize,
@@ -49,6 +54,10 @@
     "info".to_owned()
 }
 
+fn default_plan_deadline() -> String {
+    "2s".to_owned()
+}
+
 fn default_max_answer_bytes() -> usize {
     8 * 1024 * 1024
 }
@@ -90,6 +99,9 @@
     pub grace: Duration,
     /// Time for which a draining server still accepts new work.
     pub drain: Duration,
+    /// Time limits of the change stream, by which plans are in force and draining servers known in
+    /// time.
+    pub change_timing: ChangeTiming,
     /// Limits on the answers that the process receives.
     pub answer_limits: AnswerLimits,
     /// Minimum level of logged events.
@@ -136,6 +148,8 @@
             let allowed = format!("{} ms or more", MIN_MAX_HOLD.as_millis());
             return Err(SettingError::new("max_hold", &raw.max_hold, allowed));
         }
+        let drain = duration("drain", &raw.drain)?;
+        let plan_deadline = duration("plan_deadline", &raw.plan_deadline)?;
         let level = raw.log_level.parse();
         Ok(Self {
             vm: name("vm", &raw.vm)?,
@@ -154,7 +168,8 @@
             },
             max_hold,
             grace: duration("grace", &raw.grace)?,
-            drain: duration("drain", &raw.drain)?,
+            drain,
+            change_timing: ChangeTiming::for_deadline(plan_deadline.min(drain)),
             answer_limits: AnswerLimits {
                 server: answer_bytes("max_answer_bytes", raw.max_answer_bytes)?,
                 order: answer_bytes("max_order_answer_bytes", raw.max_order_answer_bytes)?,
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -57,15 +57,12 @@
     pub is_missing: bool,
 }
 
-/// Longest time until a VM learns that a server is draining, including the time to detect that its
-/// relay is silent.
-const MAX_CHANGE_DELAY: Duration = Duration::from_millis(1_600);
-
 impl CachedServer {
     /// Whether requests for the server's keys may still be sent to it. It accepts them for `drain`
-    /// after it has published that it is draining.
-    pub fn is_usable_owner(&self, drain: Duration, now: MonoTime) -> bool {
-        let usable = drain.saturating_sub(MAX_CHANGE_DELAY);
+    /// after it has published that it is draining, which this process has learned up to `max_delay`
+    /// later.
+    pub fn is_usable_owner(&self, drain: Duration, max_delay: Duration, now: MonoTime) -> bool {
+        let usable = drain.saturating_sub(max_delay);
         self.draining_since.is_none_or(|it| now.since(it) < usable)
     }
 
--- a/crates/entry/src/state_cache.rs
+++ b/crates/entry/src/state_cache.rs
@@ -13,8 +13,8 @@
 use slog::{Logger, info, warn};
 
 use crate::{
-    CachedServer, ChangeBatch, ChangeEvent, ServerEntry, StateSnapshot, StoredAssigner,
-    StoredShards,
+    BatchScope, CachedServer, ChangeBatch, ChangeEvent, RelayBatch, ServerEntry, StateSnapshot,
+    StoredAssigner, StoredShards,
     datagrams::{AckedRange, ShardUpdate},
 };
 
@@ -62,6 +62,12 @@
     acked: BTreeMap<ServiceName, Vec<(KeyRange, u64)>>,
     /// Changes not yet taken by `take_changes`, for VMs that use this one as their relay.
     changes: Vec<ChangeEvent>,
+    /// Revision of the state when changes were last taken.
+    taken_revision: u64,
+    /// Whether the changes since then are a difference between two states.
+    is_difference: bool,
+    /// Whether changes may be missing since the last complete read.
+    is_incomplete: bool,
     /// When a call to the store last failed; `None` once a complete read has been requested.
     store_failed_at: Option<MonoTime>,
     /// Whether servers have joined or left since they were last indexed by service.
@@ -79,6 +85,9 @@
             stored: BTreeMap::new(),
             acked: BTreeMap::new(),
             changes: Vec::new(),
+            taken_revision: 0,
+            is_difference: false,
+            is_incomplete: false,
             store_failed_at: None,
             is_index_stale: false,
             has_complete_state: false,
@@ -91,14 +100,24 @@
         &self.snapshot
     }
 
-    /// Takes the changes that no earlier call has taken, in order.
-    pub fn take_changes(&mut self) -> Vec<ChangeEvent> {
-        std::mem::take(&mut self.changes)
+    /// Takes the changes that no earlier call has taken, in order. While changes may be missing, none
+    /// are taken: later they are the difference that the next complete read makes.
+    pub fn take_changes(&mut self) -> RelayBatch {
+        let to = self.snapshot.revision;
+        if self.is_incomplete {
+            return RelayBatch { from: to, to, ..RelayBatch::default() };
+        }
+        RelayBatch {
+            from: std::mem::replace(&mut self.taken_revision, to),
+            to,
+            is_difference: std::mem::take(&mut self.is_difference),
+            events: std::mem::take(&mut self.changes),
+        }
     }
 
-    /// Sets the time at which the store last confirmed the state: `age` before `now`.
-    pub fn set_synced_at(&mut self, age: Duration, now: MonoTime) {
-        self.snapshot.synced_at = now - age;
+    /// Whether changes may be missing, so that only a complete read helps.
+    pub fn is_incomplete(&self) -> bool {
+        self.is_incomplete
     }
 
     /// Records that a call to the store failed.
@@ -112,12 +131,13 @@
         self.store_failed_at.is_some_and(|it| now.since(it) < LAPSE_WINDOW)
     }
 
-    /// Applies changes that were current at `now`. Returns whether every shard update among them
-    /// was contiguous with the cached record; no other change is checked for this.
+    /// Applies changes. Returns whether the state is complete up to the batch's revision: it is not
+    /// after a gap, or if a shard update among them was not contiguous with the cached record. The
+    /// state's revision and its age then stay as they were.
     pub fn apply_changes(&mut self, batch: ChangeBatch, now: MonoTime) -> bool {
-        self.snapshot.synced_at = now;
-        self.snapshot.revision = self.snapshot.revision.max(batch.revision);
-        let mut is_contiguous = true;
+        let ChangeBatch { revision, scope, age, .. } = batch;
+        self.is_difference |= scope == BatchScope::Difference;
+        let mut is_contiguous = scope != BatchScope::Gap;
         for event in batch.events {
             match event {
                 ChangeEvent::Shards(update) => is_contiguous &= self.apply_shard_update(update),
@@ -125,6 +145,15 @@
             }
         }
         self.update_index();
+        self.is_incomplete |= !is_contiguous;
+        if is_contiguous {
+            self.snapshot.revision = self.snapshot.revision.max(revision);
+            // The store has confirmed the state up to the last change that the batch contains, but
+            // after a partial one it is not known when that was.
+            if scope != BatchScope::Partial {
+                self.snapshot.synced_at = self.snapshot.synced_at.max(now - age);
+            }
+        }
         is_contiguous
     }
 
@@ -144,6 +173,8 @@
     /// Applies the complete state, and removes the servers, evacuations, VMs and the assigner that
     /// it does not contain. The plan and shard records are never removed.
     pub fn apply_complete(&mut self, batch: ChangeBatch, now: MonoTime) {
+        let batch = ChangeBatch { scope: BatchScope::Difference, ..batch };
+        self.is_incomplete = false;
         let mut listed = ListedNames::default();
         for event in &batch.events {
             listed.add(event);
@@ -187,7 +218,7 @@
                     return false;
                 }
                 info!(self.log, "plan-in-force"; "version" => plan.version, "previous" => cached,
-                    "revision" => self.snapshot.revision);
+                    "from_revision" => self.snapshot.revision);
                 self.snapshot.plan = Some(Arc::new(plan));
                 true
             }
--- a/crates/entry/src/state_sync.rs
+++ b/crates/entry/src/state_sync.rs
@@ -1,49 +1,41 @@
-//! Keeps the cached state in sync with the store or a relay, with one long-polling call at a time.
-
-use std::{cell::RefCell, net::IpAddr, rc::Rc, sync::Arc, time::Duration};
+//! Keeps the cached state in sync with the store or a relay, with one long-polling call at a time,
+//! and asks the store itself as soon as the state is too old.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::IpAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use model::{MonoTime, StepError};
 use peer::{ByteCounter, PeerClient, PeerPool};
 use settings::ProcessClock;
 use slog::{Logger, info, warn};
-use tokio::{
-    sync::{Notify, watch},
-    time::sleep,
-};
+use tokio::time::sleep;
 
 use crate::{
-    ChangeBatch, EntryMetrics, StateSnapshot, StateStore, StoreError,
-    change_relay::{
-        ChangeSource, MAX_RELAY_AGE, RELAY_WAIT, RelayLog, RelayRequest, SourceSelector,
-    },
+    BatchScope, ChangeBatch, ChangeSource, ChangeTiming, EntryMetrics, RelayRequest,
+    RelayedChanges, SnapshotChannel, SourceFailure, SourceSelector, StateStore, StoreError,
     state_cache::{StateCache, VM_PREFIX},
 };
 
-/// Wait time of one watch; no answer within this plus `ANSWER_TIMEOUT` is a failure.
-const WATCH_WAIT: Duration = Duration::from_millis(700);
-
-/// Time allowed for the store's answer itself.
+/// Time allowed for the store's answer to a watch, besides the wait itself.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Time allowed for each page of a complete read.
+const PAGE_TIMEOUT: Duration = Duration::from_millis(1_200);
+
 /// Minimum time between calls to the store.
 const CALL_INTERVAL: Duration = Duration::from_millis(450);
 
-/// Minimum time between calls when a refresh has been requested.
-const REFRESH_INTERVAL: Duration = Duration::from_millis(200);
-
 /// Minimum time between calls to a relay; short, because a relay sends only relevant changes.
 const RELAY_INTERVAL: Duration = Duration::from_millis(30);
 
-/// Time allowed for a relay's answer itself.
-const RELAY_TIMEOUT: Duration = Duration::from_millis(400);
-
 /// Time allowed for a relay's answer with the complete state, which it may send to all VMs of its
 /// domain at once.
 const COMPLETE_RELAY_TIMEOUT: Duration = Duration::from_millis(2_500);
 
-/// Delay after a failed call.
-const RETRY_DELAY: Duration = Duration::from_millis(100);
-
 /// Duration beyond which an answered call is logged: the longest wait for a change and a little more.
 const SLOW_CALL: Duration = Duration::from_millis(900);
 
@@ -54,52 +46,6 @@
 /// Longest wait for this VM's own presence record before the complete state is read.
 const ANNOUNCEMENT_TIME: Duration = Duration::from_millis(300);
 
-/// Channel that publishes snapshots to all threads and carries refresh requests back.
-#[derive(Debug, Clone)]
-pub struct SnapshotChannel {
-    sender: Arc<watch::Sender<Arc<StateSnapshot>>>,
-    refresh: Arc<Notify>,
-    relay_log: Option<RelayLog>,
-}
-
-impl Default for SnapshotChannel {
-    fn default() -> Self {
-        let (sender, _) = watch::channel(Arc::default());
-        Self { sender: Arc::new(sender), refresh: Arc::default(), relay_log: None }
-    }
-}
-
-impl SnapshotChannel {
-    /// Creates a channel that also adds published changes to a relay log.
-    pub fn with_relay(relay_log: RelayLog) -> Self {
-        Self { relay_log: Some(relay_log), ..Self::default() }
-    }
-
-    /// The last published snapshot.
-    pub fn current(&self) -> Arc<StateSnapshot> {
-        self.sender.borrow().clone()
-    }
-
-    /// Returns a receiver that is notified of each publication.
-    pub fn subscribe(&self) -> watch::Receiver<Arc<StateSnapshot>> {
-        self.sender.subscribe()
-    }
-
-    /// Requests a call to the source as soon as `REFRESH_INTERVAL` allows.
-    pub fn request_refresh(&self) {
-        self.refresh.notify_one();
-    }
-
-    /// Publishes the state to this process's threads, and adds the changes to the relay log.
-    pub fn publish(&self, cache: &mut StateCache) {
-        let changes = cache.take_changes();
-        if let Some(relay_log) = &self.relay_log {
-            relay_log.add(changes, cache.snapshot());
-        }
-        self.sender.send_replace(Arc::new(cache.snapshot().clone()));
-    }
-}
-
 /// Follows the change stream and applies it to the cached state.
 pub struct ChangeFollower<S> {
     /// Read directly when it is the selected source.
@@ -112,6 +58,8 @@
     pub channel: SnapshotChannel,
     /// Selects the source of each call.
     pub selector: SourceSelector,
+    /// Time limits of calls and of the state's age.
+    pub timing: ChangeTiming,
     /// Monotonic clock that all threads of the process share.
     pub clock: ProcessClock,
     /// Metrics that the calls are counted in.
@@ -120,115 +68,157 @@
     pub log: Logger,
 }
 
-/// Position up to which the current source has been read; dropped when the source changes.
-#[derive(Debug, Clone, Copy, Default)]
-struct ReadPosition {
-    /// Store revision that the state reflects; `None` if a complete read is due.
-    revision: Option<u64>,
-    /// Incarnation of the relay and number of its last event; `None` before its first reply.
-    relay: Option<(u64, u64)>,
-}
-
 /// Result of one call to a source.
 struct SourceBatch {
     batch: ChangeBatch,
     is_complete: bool,
-    age: Duration,
+}
+
+/// Position in the batches of the relay that was called last.
+#[derive(Debug, Clone, Copy, Default)]
+struct RelayPosition {
+    /// Incarnation of the relay's process; 0 before its first reply.
+    incarnation: u64,
+    /// Number of its last batch.
+    last: u64,
+}
+
+/// A running follower: one task follows the selected source, another asks the store when that does
+/// not keep the state young enough.
+struct FollowerTasks<S> {
+    store: S,
+    peers: PeerPool,
+    cache: Rc<RefCell<StateCache>>,
+    channel: SnapshotChannel,
+    selector: RefCell<SourceSelector>,
+    timing: ChangeTiming,
+    clock: ProcessClock,
+    metrics: EntryMetrics,
+    log: Logger,
+    /// Whether the selected source is the store.
+    is_watching: Cell<bool>,
+    /// Whether the next read must be a complete one although no change is known to be missing.
+    is_complete_read_due: Cell<bool>,
+    /// Until when a failing relay may not have started yet.
+    relay_due_at: MonoTime,
 }
 
 impl<S: StateStore> ChangeFollower<S> {
     /// Runs until the process ends.
-    pub async fn run(mut self) {
-        let peers = PeerPool::new(self.local, ByteCounter::default());
+    pub async fn run(self) {
+        let tasks = FollowerTasks {
+            store: self.store,
+            peers: PeerPool::new(self.local, ByteCounter::default()),
+            cache: self.cache,
+            channel: self.channel,
+            selector: RefCell::new(self.selector),
+            timing: self.timing,
+            clock: self.clock,
+            metrics: self.metrics,
+            log: self.log,
+            is_watching: Cell::new(true),
+            is_complete_read_due: Cell::new(false),
+            relay_due_at: self.clock.now() + RELAY_START_TIME,
+        };
+        tasks.read_vms().await;
+        tokio::join!(tasks.follow_source(), tasks.catch_up_when_stale());
+    }
+}
+
+impl<S: StateStore> FollowerTasks<S> {
+    /// Calls the selected source again and again.
+    async fn follow_source(&self) {
         let mut source = ChangeSource::Store;
-        let mut position = ReadPosition::default();
+        let mut position = RelayPosition::default();
         let mut is_lost = false;
-        let relay_due_at = self.clock.now() + RELAY_START_TIME;
-        self.read_vms().await;
         loop {
             let called_at = self.clock.now();
-            let selected = self.selector.select(self.cache.borrow().snapshot(), called_at);
+            let selected =
+                self.selector.borrow_mut().select(self.cache.borrow().snapshot(), called_at);
+            self.is_watching.set(selected == Some(ChangeSource::Store));
             let Some(selected) = selected else {
-                sleep(RETRY_DELAY).await;
+                sleep(self.timing.retry_delay).await;
                 continue;
             };
-            if selected != source {
+            let is_new = selected != source;
+            if is_new {
                 info!(self.log, "change-source-selected"; "from" => ?selected, "before" => ?source);
-                position = ReadPosition::default();
+                position = RelayPosition::default();
                 source = selected;
             }
             let res = match &source {
-                ChangeSource::Store => self.read_store(&mut position).await,
+                // The store may still refuse this VM, which leaves a relay that works for it.
+                ChangeSource::Store if is_new => self.read_changes(Duration::ZERO).await,
+                ChangeSource::Store => self.watch_store().await,
                 ChangeSource::Relay(_, address) => {
-                    let known_revision = self.cache.borrow().snapshot().revision;
-                    let client = peers.client(*address, "changes");
-                    read_relay(&client, &mut position, known_revision).await
+                    let client = self.peers.client(*address, "changes");
+                    self.call_relay(&client, &mut position).await
                 }
             };
             let now = self.clock.now();
             match res {
-                Ok(batch) => {
+                Ok(answer) => {
                     if std::mem::replace(&mut is_lost, false) {
                         info!(self.log, "change-source-recovered"; "source" => ?source);
                     }
-                    self.note_call(&source, &batch, now.since(called_at));
-                    self.apply_batch(batch, &mut position, now);
                     let interval = match source {
+                        _ if answer.batch.needs_another_read() => Duration::ZERO,
                         ChangeSource::Store => CALL_INTERVAL,
                         ChangeSource::Relay(..) => RELAY_INTERVAL,
                     };
-                    pause(&self.channel, interval.saturating_sub(now.since(called_at))).await;
+                    self.note_call(&source, &answer, now.since(called_at));
+                    self.apply_batch(answer, now);
+                    let rest = interval.saturating_sub(now.since(called_at));
+                    self.channel.pause(rest).await;
                 }
                 Err(StoreError::Compacted) => {
-                    warn!(self.log, "store-history-compacted"; "after" => position.revision);
-                    position = ReadPosition::default();
+                    warn!(self.log, "store-history-compacted"; "after" => self.revision());
+                    self.is_complete_read_due.set(true);
                 }
-                Err(_) if self.is_relay_starting(&source, now, relay_due_at) => {
-                    sleep(RETRY_DELAY).await;
+                Err(_) if self.is_relay_starting(&source, now) => {
+                    sleep(self.timing.retry_delay).await;
                 }
                 Err(err) => {
                     is_lost = true;
                     self.note_failed_call(&source, &err, now.since(called_at), now);
-                    if source == ChangeSource::Store {
-                        self.cache.borrow_mut().note_store_failure(now);
-                    }
-                    self.selector.record_failure(&source, now);
-                    sleep(RETRY_DELAY).await;
+                    sleep(self.timing.retry_delay).await;
                 }
             }
         }
     }
 
-    /// Counts an answered call; logs it if it took long.
-    fn note_call(&self, source: &ChangeSource, answer: &SourceBatch, took: Duration) {
-        let SourceBatch { batch, is_complete, .. } = answer;
-        let end = match () {
-            () if batch.has_gap => "gap",
-            () if *is_complete => "complete",
-            () => "changes",
-        };
-        self.metrics.change_calls.with_label_values(&[source.kind(), end]).inc();
-        if took > SLOW_CALL {
-            info!(self.log, "change-call-slow"; "source" => ?source, "end" => end,
-                "took_ms" => took.as_millis() as u64, "events" => batch.events.len(),
-                "bytes" => batch.n_bytes, "to_revision" => batch.revision,
-                "from_revision" => self.cache.borrow().snapshot().revision);
+    /// Asks the store for changes whenever the state is too old, whatever the selected source.
+    ///
+    /// Load pattern: a relay is frozen, cut off or slow, and so are those after it, or the connections
+    /// to all of them. How long it takes to find one that works is then not bounded.
+    async fn catch_up_when_stale(&self) {
+        let ChangeTiming { catch_up_age, retry_delay, .. } = self.timing;
+        loop {
+            let now = self.clock.now();
+            let age = self.state_age(now);
+            let is_needed = age >= catch_up_age && self.revision() > 0 && !self.is_watching.get();
+            if !is_needed || !self.selector.borrow().is_store_usable(now) {
+                sleep(catch_up_age.saturating_sub(age).max(retry_delay)).await;
+                continue;
+            }
+            let res = match self.read_changes(Duration::ZERO).await {
+                // The store may answer on a new connection.
+                Err(StoreError::Unknown(_)) => self.read_changes(Duration::ZERO).await,
+                res => res,
+            };
+            let now = self.clock.now();
+            let source = ChangeSource::Store;
+            match res {
+                Ok(answer) => {
+                    self.note_call(&source, &answer, Duration::ZERO);
+                    self.apply_batch(answer, now);
+                }
+                Err(StoreError::Compacted) => self.is_complete_read_due.set(true),
+                Err(err) => self.note_failed_call(&source, &err, Duration::ZERO, now),
+            }
         }
     }
 
-    fn note_failed_call(
-        &self,
-        source: &ChangeSource,
-        err: &StoreError,
-        took: Duration,
-        now: MonoTime,
-    ) {
-        self.metrics.change_calls.with_label_values(&[source.kind(), "failed"]).inc();
-        let age = now.since(self.cache.borrow().snapshot().synced_at);
-        warn!(self.log, "change-source-lost"; "source" => ?source, "cause" => %err,
-            "took_ms" => took.as_millis() as u64, "belief_age_ms" => age.as_millis() as u64);
-    }
-
     /// Reads which VMs there are, so that the complete state can be taken from this VM's relay.
     ///
     /// Load pattern: all VMs start at the same moment, and the complete state for each of them would
@@ -246,104 +236,194 @@
                 }
                 Err(err) => warn!(self.log, "vms-not-read"; "cause" => %err),
             }
-            let is_listed = self.selector.is_listed(self.cache.borrow().snapshot());
+            let is_listed = self.selector.borrow().is_listed(self.cache.borrow().snapshot());
             if is_listed || now >= give_up_at {
                 return;
             }
-            sleep(RETRY_DELAY).await;
+            sleep(self.timing.retry_delay).await;
         }
     }
 
     /// Whether this process has just started and its relay may have as well.
-    fn is_relay_starting(
-        &self,
-        source: &ChangeSource,
-        now: MonoTime,
-        relay_due_at: MonoTime,
-    ) -> bool {
+    fn is_relay_starting(&self, source: &ChangeSource, now: MonoTime) -> bool {
         let is_relay = matches!(source, ChangeSource::Relay(..));
-        is_relay && now < relay_due_at && self.channel.current().plan.is_none()
+        is_relay && now < self.relay_due_at && self.channel.current().plan.is_none()
+    }
+
+    fn revision(&self) -> u64 {
+        self.cache.borrow().snapshot().revision
+    }
+
+    fn state_age(&self, now: MonoTime) -> Duration {
+        now.since(self.cache.borrow().snapshot().synced_at)
+    }
+
+    /// Whether only a complete read brings the state up to date.
+    fn needs_complete_state(&self) -> bool {
+        self.is_complete_read_due.get() || self.cache.borrow().is_incomplete()
+    }
+
+    /// Watches the store until the state is as old as it may become, or reads it completely.
+    async fn watch_store(&self) -> Result<SourceBatch, StoreError> {
+        let age = self.state_age(self.clock.now());
+        match self.read_changes(self.timing.watch_cycle.saturating_sub(age)).await {
+            // The store may answer on a new connection.
+            Err(StoreError::Unknown(_)) => self.read_changes(Duration::ZERO).await,
+            res => res,
+        }
     }
 
-    async fn read_store(&self, position: &mut ReadPosition) -> Result<SourceBatch, StoreError> {
-        let (batch, is_complete) = match position.revision {
-            None => (self.store.read_all(ANSWER_TIMEOUT * 2).await?, true),
-            Some(after) => {
-                let timeout = WATCH_WAIT + ANSWER_TIMEOUT;
-                (self.store.watch(after, WATCH_WAIT, timeout).await?, false)
+    /// Reads the changes since the state's revision, waiting up to `wait` for one, or the complete
+    /// state if it is needed.
+    async fn read_changes(&self, wait: Duration) -> Result<SourceBatch, StoreError> {
+        let revision = self.revision();
+        if revision == 0 || self.needs_complete_state() {
+            let batch = self.store.read_all(PAGE_TIMEOUT).await?;
+            self.channel.set_relay_path(Vec::new());
+            // Another source may have been ahead.
+            return Ok(match batch.revision < self.revision() {
+                true => SourceBatch { batch: batch.without_events(), is_complete: false },
+                false => SourceBatch { batch, is_complete: true },
+            });
+        }
+        let timeout = match wait {
+            Duration::ZERO => self.timing.catch_up_timeout,
+            wait => wait + ANSWER_TIMEOUT,
+        };
+        let batch = self.store.watch(revision, wait, timeout).await?;
+        self.channel.set_relay_path(Vec::new());
+        // Another source may have been ahead, which only leaves what the answer says of the age.
+        let batch = match batch.revision <= self.revision() {
+            true => batch.without_events(),
+            false => batch,
+        };
+        Ok(SourceBatch { batch, is_complete: false })
+    }
+
+    /// Calls a relay for the changes since the state's revision, or for the complete state.
+    async fn call_relay(
+        &self,
+        client: &PeerClient,
+        position: &mut RelayPosition,
+    ) -> Result<SourceBatch, StoreError> {
+        let timing = &self.timing;
+        let (max_age, wait) = match self.selector.borrow().is_relay(self.cache.borrow().snapshot())
+        {
+            true => (timing.relay_limit, timing.successor_wait),
+            false => (timing.follower_limit, timing.relay_wait),
+        };
+        let revision = if self.needs_complete_state() { 0 } else { self.revision() };
+        let timeout = match revision {
+            0 => COMPLETE_RELAY_TIMEOUT,
+            _ => wait + timing.relay_timeout,
+        };
+        let request = RelayRequest {
+            incarnation: position.incarnation,
+            after: position.last,
+            revision,
+            wait_ms: wait.as_millis() as u64,
+            max_age_ms: max_age.as_millis() as u64,
+        };
+        let called_at = self.clock.now();
+        let reply = client.call(&request, timeout).await.map_err(StoreError::Unknown)?;
+        let took = self.clock.now().since(called_at);
+        // The time that the reply took counts as if all of it had passed after the relay sent it.
+        let age = Duration::from_millis(reply.age_ms)
+            + took.saturating_sub(Duration::from_millis(reply.held_ms));
+        let refused =
+            |cause: &str| StoreError::Refused(StepError::new("ask-relay", "relay", cause));
+        if age > max_age {
+            return Err(refused("its state is stale"));
+        }
+        if reply.path.contains(self.selector.borrow().vm()) {
+            return Err(refused("it follows this VM"));
+        }
+        *position = RelayPosition { incarnation: reply.incarnation, last: reply.last };
+        self.channel.set_relay_path(reply.path);
+        let known = self.revision();
+        let (events, scope, is_complete) = match reply.changes {
+            RelayedChanges::Complete(_) if reply.revision < known => {
+                return Err(refused("its state is older than this VM's"));
+            }
+            RelayedChanges::Complete(events) => (unwrap_events(events), BatchScope::Current, true),
+            RelayedChanges::Since(batches) => {
+                // The store may have been asked in the meantime.
+                let missing: Vec<_> = batches.into_iter().filter(|it| it.to > known).collect();
+                let is_difference = missing.iter().any(|it| it.is_difference);
+                if missing.iter().any(|it| it.is_difference && it.from < known) {
+                    *position = RelayPosition::default();
+                    return Err(refused("its changes don't continue this VM's state"));
+                }
+                let scope = match is_difference {
+                    true => BatchScope::Difference,
+                    false => BatchScope::Current,
+                };
+                (missing.into_iter().flat_map(|it| it.events).collect(), scope, false)
             }
         };
-        position.revision = Some(batch.revision);
-        Ok(SourceBatch { batch, is_complete, age: Duration::ZERO })
+        let batch = ChangeBatch { revision: reply.revision, scope, age, events, n_bytes: 0 };
+        Ok(SourceBatch { batch, is_complete })
     }
 
-    fn apply_batch(&self, batch: SourceBatch, position: &mut ReadPosition, now: MonoTime) {
-        let SourceBatch { batch, is_complete, age } = batch;
-        let has_gap = batch.has_gap;
-        if has_gap {
+    fn apply_batch(&self, answer: SourceBatch, now: MonoTime) {
+        let SourceBatch { batch, is_complete } = answer;
+        if batch.scope == BatchScope::Gap {
             warn!(self.log, "change-stream-gap"; "revision" => batch.revision);
         }
         let mut cache = self.cache.borrow_mut();
-        let is_contiguous = match is_complete {
+        match is_complete {
             true => {
                 cache.apply_complete(batch, now);
-                true
+                self.is_complete_read_due.set(false);
             }
-            false => cache.apply_changes(batch, now),
-        };
-        cache.set_synced_at(age, now);
-        if cache.take_complete_read_due(now) || !is_contiguous || has_gap {
-            *position = ReadPosition::default();
+            false => _ = cache.apply_changes(batch, now),
+        }
+        if cache.take_complete_read_due(now) {
+            self.is_complete_read_due.set(true);
         }
         self.channel.publish(&mut cache);
     }
-}
 
-/// Calls a relay. Until the relay has reached `known_revision`, its changes are not used, and a
-/// complete state is refused.
-async fn read_relay(
-    client: &PeerClient,
-    position: &mut ReadPosition,
-    known_revision: u64,
-) -> Result<SourceBatch, StoreError> {
-    let (incarnation, after) = position.relay.unwrap_or_default();
-    let timeout = match position.revision {
-        None => COMPLETE_RELAY_TIMEOUT,
-        Some(_) => RELAY_WAIT + RELAY_TIMEOUT,
-    };
-    let request = RelayRequest { incarnation, after, revision: position.revision.unwrap_or(0) };
-    let reply = client.call(&request, timeout).await.map_err(StoreError::Unknown)?;
-    let refused = |cause: &str| StoreError::Refused(StepError::new("ask-relay", "relay", cause));
-    let age = Duration::from_millis(reply.age_ms);
-    match () {
-        () if age > MAX_RELAY_AGE => return Err(refused("its state is stale")),
-        () if position.relay.is_some() || reply.revision >= known_revision => (),
-        () if reply.is_complete => return Err(refused("its state is older than this VM's")),
-        // This VM has come from a source that was ahead; the relay catches up or becomes stale.
-        () => {
-            sleep(RETRY_DELAY).await;
-            return Ok(SourceBatch { batch: ChangeBatch::default(), is_complete: false, age });
+    /// Counts an answered call; logs it if it took long.
+    fn note_call(&self, source: &ChangeSource, answer: &SourceBatch, took: Duration) {
+        let SourceBatch { batch, is_complete } = answer;
+        let end = match batch.scope {
+            _ if *is_complete => "complete",
+            BatchScope::Gap => "gap",
+            BatchScope::Current | BatchScope::Partial | BatchScope::Difference => "changes",
+        };
+        self.metrics.change_calls.with_label_values(&[source.kind(), end]).inc();
+        if took > SLOW_CALL {
+            info!(self.log, "change-call-slow"; "source" => ?source, "end" => end,
+                "took_ms" => took.as_millis() as u64, "events" => batch.events.len(),
+                "bytes" => batch.n_bytes, "to_revision" => batch.revision,
+                "from_revision" => self.revision());
         }
     }
-    position.relay = Some((reply.incarnation, reply.last));
-    position.revision = Some(reply.revision.max(known_revision));
-    Ok(SourceBatch {
-        batch: ChangeBatch {
-            revision: reply.revision,
-            events: Arc::unwrap_or_clone(reply.events),
-            ..ChangeBatch::default()
-        },
-        is_complete: reply.is_complete,
-        age,
-    })
-}
 
-/// Waits for `length`; a requested refresh ends the wait once `REFRESH_INTERVAL` has passed.
-async fn pause(channel: &SnapshotChannel, length: Duration) {
-    sleep(length.min(REFRESH_INTERVAL)).await;
-    let rest = length.saturating_sub(REFRESH_INTERVAL);
-    tokio::select! {
-        () = sleep(rest) => (),
-        () = channel.refresh.notified() => (),
+    /// Backs off from a source that failed.
+    fn note_failed_call(
+        &self,
+        source: &ChangeSource,
+        err: &StoreError,
+        took: Duration,
+        now: MonoTime,
+    ) {
+        self.metrics.change_calls.with_label_values(&[source.kind(), "failed"]).inc();
+        warn!(self.log, "change-source-lost"; "source" => ?source, "cause" => %err,
+            "took_ms" => took.as_millis() as u64,
+            "belief_age_ms" => self.state_age(now).as_millis() as u64);
+        if *source == ChangeSource::Store {
+            self.cache.borrow_mut().note_store_failure(now);
+        }
+        let failure = match err {
+            StoreError::Refused(_) => SourceFailure::Refused,
+            _ => SourceFailure::Silent,
+        };
+        self.selector.borrow_mut().record_failure(source, failure, now);
     }
 }
+
+fn unwrap_events(events: std::sync::Arc<Vec<crate::ChangeEvent>>) -> Vec<crate::ChangeEvent> {
+    std::sync::Arc::unwrap_or_clone(events)
+}
--- a/crates/entry/src/traffic/choice.rs
+++ b/crates/entry/src/traffic/choice.rs
@@ -60,7 +60,8 @@
         let Some(server) = server.filter(|_| entry.is_settled()) else {
             return SendChoice::AwaitChange(NotRunReason::NoOwner);
         };
-        if !server.is_usable_owner(self.settings.load().drain, now) {
+        let settings = self.settings.load();
+        if !server.is_usable_owner(settings.drain, settings.change_timing.max_delay(), now) {
             return SendChoice::AwaitChange(NotRunReason::NoOwner);
         }
         let evacuated_at = snapshot.evacuated.get(&server.entry.domain);
--- /dev/null
+++ b/crates/entry/tests/it/change_delay.rs
@@ -0,0 +1,111 @@
+//! How late a VM learns of a change whose sources fail, and which fail one after the other.
+
+use std::time::Duration;
+
+use tokio::task::LocalSet;
+
+use crate::fleet::{CHANGE_DEADLINE, Fleet, StoreFault, later_than};
+
+/// Guards against leaving sources that work for one that doesn't: the assigner's VM is the last relay
+/// of its domain; once its lease had expired because it was frozen, it became the first, and both its
+/// neighbors waited 2.5 s for its complete state.
+#[tokio::test]
+async fn a_frozen_assigner_whose_lease_expires_delays_no_change_on_its_neighbors() {
+    let test = async {
+        let fleet = Fleet::start(&["a", "b"], 3).await;
+        fleet.set_assigner(Some("a-1"));
+        fleet.measure_delays(Duration::from_secs(1)).await;
+        fleet.vm("a-1").set_frozen(true);
+        fleet.set_assigner(None);
+        let mut delays = fleet.measure_delays(Duration::from_secs(5)).await;
+        delays.retain(|vm, _| vm.as_str() != "a-1");
+        assert_eq!(later_than(&delays, CHANGE_DEADLINE), Default::default());
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// Guards against delays that add up: the second relay follows the first and fails with it, or is
+/// frozen as well.
+#[tokio::test]
+async fn two_frozen_relays_delay_no_change_on_the_other_vms_of_their_domain() {
+    let test = async {
+        let fleet = Fleet::start(&["a"], 5).await;
+        fleet.measure_delays(Duration::from_secs(1)).await;
+        fleet.vm("a-1").set_frozen(true);
+        fleet.vm("a-2").set_frozen(true);
+        let mut delays = fleet.measure_delays(Duration::from_secs(6)).await;
+        delays.retain(|vm, _| !["a-1", "a-2"].contains(&vm.as_str()));
+        assert_eq!(later_than(&delays, CHANGE_DEADLINE), Default::default());
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// Guards against a relay whose state is too old for its followers' deadline: something between it
+/// and the store has lost track of its connections.
+#[tokio::test]
+async fn a_relay_that_the_store_no_longer_answers_delays_no_change_on_its_followers() {
+    let test = async {
+        let fleet = Fleet::start(&["a"], 6).await;
+        fleet.measure_delays(Duration::from_secs(1)).await;
+        fleet.store.set_fault(&fleet.vm("a-1").name, Some(StoreFault::Silent));
+        let delays = fleet.measure_delays(Duration::from_secs(5)).await;
+        assert_eq!(later_than(&delays, CHANGE_DEADLINE), Default::default());
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// Guards against leaving a relay that works for a store that doesn't: a domain whose VMs the store
+/// does not answer gets its changes from another one, and its first VM tries the store again and again.
+#[tokio::test]
+async fn a_domain_that_the_store_does_not_answer_keeps_its_changes_while_it_tries_again() {
+    let test = async {
+        let fleet = Fleet::start(&["a", "b"], 4).await;
+        fleet.measure_delays(Duration::from_secs(1)).await;
+        for vm in fleet.vms.iter().filter(|it| it.presence.domain.as_str() == "a") {
+            fleet.store.set_fault(&vm.name, Some(StoreFault::Silent));
+        }
+        // By then each VM has found that the store does not answer.
+        fleet.measure_delays(Duration::from_secs(3)).await;
+        let delays = fleet.measure_delays(Duration::from_secs(5)).await;
+        assert_eq!(later_than(&delays, CHANGE_DEADLINE), Default::default());
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// Guards against a domain without changes although another domain has them: the store refuses all
+/// VMs of the domain.
+#[tokio::test]
+async fn a_domain_that_the_store_refuses_gets_its_changes_from_another_domain() {
+    let test = async {
+        let fleet = Fleet::start(&["a", "b"], 4).await;
+        fleet.measure_delays(Duration::from_secs(1)).await;
+        for vm in fleet.vms.iter().filter(|it| it.presence.domain.as_str() == "a") {
+            fleet.store.set_fault(&vm.name, Some(StoreFault::Refused));
+        }
+        let delays = fleet.measure_delays(Duration::from_secs(6)).await;
+        assert_eq!(later_than(&delays, CHANGE_DEADLINE), Default::default());
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// Load pattern: the relay of a large domain is lost, and each of its followers turned to the store,
+/// read everything and watched it for seconds.
+#[tokio::test]
+async fn a_lost_relay_costs_each_follower_at_most_one_call_to_the_store() {
+    let test = async {
+        let fleet = Fleet::start(&["a"], 30).await;
+        fleet.measure_delays(Duration::from_secs(1)).await;
+        let before = fleet.store.n_calls();
+        fleet.measure_delays(Duration::from_secs(4)).await;
+        let n_usual = fleet.store.n_calls() - before;
+        fleet.vm("a-1").set_frozen(true);
+        let before = fleet.store.n_calls();
+        let mut delays = fleet.measure_delays(Duration::from_secs(4)).await;
+        let n_calls = fleet.store.n_calls() - before;
+        delays.retain(|vm, _| vm.as_str() != "a-1");
+        assert_eq!(later_than(&delays, CHANGE_DEADLINE), Default::default());
+        let n_followers = fleet.vms.len() as u64 - 1;
+        assert!(n_calls <= n_usual + n_followers, "{n_calls} calls, usually {n_usual}");
+    };
+    LocalSet::new().run_until(test).await;
+}
--- a/crates/entry/tests/it/change_source.rs
+++ b/crates/entry/tests/it/change_source.rs
@@ -3,7 +3,8 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use entry::{
-    AssignerRecord, ChangeSource, SourceSelector, StateSnapshot, StoredAssigner, VmPresence,
+    AssignerRecord, ChangeSource, SourceFailure, SourceSelector, StateSnapshot, StoredAssigner,
+    VmPresence,
 };
 use model::{DomainName, MonoTime, VmName};
 
@@ -55,9 +56,9 @@
 fn a_vm_uses_the_store_if_its_relay_fails_and_another_domain_if_both_fail() {
     let mut selector = SourceSelector::new(vm("a-1"), domain("a"));
     let relay = selector.select(&snapshot(), at(0)).expect("a relay");
-    selector.record_failure(&relay, at(0));
+    selector.record_failure(&relay, SourceFailure::Silent, at(0));
     assert_eq!(relay_of(&mut selector, at(10)), None);
-    selector.record_failure(&ChangeSource::Store, at(10));
+    selector.record_failure(&ChangeSource::Store, SourceFailure::Silent, at(10));
     assert_eq!(relay_of(&mut selector, at(20)), Some(vm("b-2")));
     let later = at(20) + Duration::from_secs(4);
     assert_eq!(
@@ -70,7 +71,7 @@
 #[test]
 fn a_watcher_uses_another_domain_while_the_store_fails() {
     let mut selector = SourceSelector::new(vm("a-2"), domain("a"));
-    selector.record_failure(&ChangeSource::Store, at(0));
+    selector.record_failure(&ChangeSource::Store, SourceFailure::Silent, at(0));
     assert_eq!(relay_of(&mut selector, at(10)), Some(vm("b-2")));
     assert_eq!(relay_of(&mut selector, at(1_100)), None, "the store is retried after its backoff");
 }
@@ -85,7 +86,7 @@
         for now in (0..8_000).step_by(100) {
             if let Some(source) = selector.select(&snapshot(), at(now)) {
                 n_calls += u32::from(source == ChangeSource::Store);
-                selector.record_failure(&source, at(now));
+                selector.record_failure(&source, SourceFailure::Silent, at(now));
             }
         }
         n_calls
@@ -126,7 +127,7 @@
         let mut selector = SourceSelector::new(name.clone(), domain("a"));
         let first = selector.select(&snapshot, at(0)).expect("a source");
         assert!(matches!(&first, ChangeSource::Relay(it, _) if *it == lost));
-        selector.record_failure(&first, at(0));
+        selector.record_failure(&first, SourceFailure::Silent, at(0));
         match selector.select(&snapshot, at(10)).expect("a source") {
             ChangeSource::Store => n_watching += 1,
             ChangeSource::Relay(it, _) => assert_eq!(it, survivors[0]),
--- a/crates/entry/tests/it/connections.rs
+++ b/crates/entry/tests/it/connections.rs
@@ -6,6 +6,7 @@
 use entry::{ExchangeError, HttpConnection};
 use http::Request;
 use model::MonoTime;
+use settings::ProcessClock;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpListener,
@@ -109,3 +110,29 @@
             .await;
     }
 }
+
+/// The head shows when the peer answered; a long body arrives later.
+#[tokio::test(flavor = "current_thread")]
+async fn an_answer_tells_when_its_head_had_arrived() {
+    LocalSet::new()
+        .run_until(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+            let address = listener.local_addr().expect("address");
+            let mut connection =
+                HttpConnection::open(address, MAX_ANSWER_BYTES).await.expect("open");
+            let (mut peer, _) = listener.accept().await.expect("accepted");
+            tokio::spawn(async move {
+                let head = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n";
+                peer.write_all(head.as_bytes()).await.expect("written");
+                tokio::time::sleep(Duration::from_millis(300)).await;
+                peer.write_all(b"slow").await.expect("written");
+                tokio::time::sleep(Duration::from_millis(300)).await;
+            });
+            let clock = ProcessClock::default();
+            let request = Request::new(Bytes::from_static(b"read").into());
+            let answer = connection.exchange(request, || clock.now()).await.expect("answered");
+            let body_time = clock.now().since(answer.head_at);
+            assert!(body_time >= Duration::from_millis(250), "{body_time:?}");
+        })
+        .await;
+}
--- a/crates/entry/tests/it/main.rs
+++ b/crates/entry/tests/it/main.rs
@@ -1,8 +1,11 @@
 //! Tests of the entry crate's public API.
 
+mod change_delay;
+mod change_faults;
 mod change_relay;
 mod change_source;
 mod connections;
 mod datagrams;
 mod fixtures;
+mod fleet;
 mod state_cache;
--- a/crates/entry/tests/it/state_cache.rs
+++ b/crates/entry/tests/it/state_cache.rs
@@ -3,7 +3,8 @@
 use std::{sync::Arc, time::Duration};
 
 use entry::{
-    AckedRange, ChangeBatch, ChangeEvent, ServerEntry, ShardUpdate, StateCache, StoredShards,
+    AckedRange, BatchScope, ChangeBatch, ChangeEvent, ChangeTiming, RelayBatch, ServerEntry,
+    ShardUpdate, StateCache, StoredShards,
 };
 use model::{MonoTime, ServiceName};
 use ownership::{KeyRange, ServerInstance, ShardDelta, ShardEntry, ShardHolder, ShardRecord};
@@ -92,7 +93,7 @@
     cache.set_shards(archive(), stored(5, &shards(1, &[])));
     cache.take_changes();
     cache.set_shards(archive(), stored(8, &shards(2, &[1])));
-    let [ChangeEvent::Shards(update)] = &cache.take_changes()[..] else {
+    let [ChangeEvent::Shards(update)] = &cache.take_changes().events[..] else {
         panic!("expected one shard update");
     };
     assert_eq!((update.base, update.revision), (5, 8));
@@ -105,7 +106,7 @@
         ChangeBatch { revision: 8, events: vec![event], ..ChangeBatch::default() },
         at(9),
     );
-    assert_eq!(cache.take_changes(), []);
+    assert_eq!(cache.take_changes().events, []);
 }
 
 #[test]
@@ -151,9 +152,10 @@
     );
     let owner = &cache.snapshot().servers["one"];
     let drain = Duration::from_secs(2);
-    assert!(owner.is_usable_owner(drain, at(1_500)));
+    let max_delay = ChangeTiming::for_deadline(drain).max_delay();
+    assert!(owner.is_usable_owner(drain, max_delay, at(1_500)));
     assert!(
-        !owner.is_usable_owner(drain, at(1_950)),
+        !owner.is_usable_owner(drain, max_delay, at(1_950)),
         "the server's drain time of two seconds may be over"
     );
 }
@@ -246,9 +248,9 @@
     cache.apply_changes(cold(3_000), at(0));
     cache.take_changes();
     cache.apply_changes(cold(2_200), at(1_000));
-    assert_eq!(cache.take_changes(), [], "the same period, reported again");
+    assert_eq!(cache.take_changes().events, [], "the same period, reported again");
     cache.apply_changes(cold(3_000), at(2_000));
-    assert_eq!(cache.take_changes().len(), 1);
+    assert_eq!(cache.take_changes().events.len(), 1);
 }
 
 /// Load pattern: VMs read the complete state again when their source of changes becomes another one,
@@ -260,7 +262,7 @@
     cache.apply_complete(batch(1, &["one", "two"]), at(0));
     cache.take_changes();
     cache.apply_complete(batch(2, &["one", "two"]), at(2_000));
-    assert_eq!(cache.take_changes(), []);
+    assert_eq!(cache.take_changes().events, []);
 }
 
 /// Guards against followers that keep what a server published before: only the VM that watches the
@@ -280,7 +282,7 @@
         cache.take_changes();
         let event = ChangeEvent::Server(entry.name.clone(), Some(entry));
         cache.apply_changes(records(2, vec![event.clone()]), at(10));
-        assert_eq!(cache.take_changes(), [event]);
+        assert_eq!(cache.take_changes().events, [event]);
     }
 }
 
@@ -297,3 +299,55 @@
     assert_eq!(usable(&cache), Vec::<String>::new());
     assert_eq!(cache.snapshot().usable(&queue).count(), 1);
 }
+
+/// Guards against a position that promises more than the state has: after a gap, the revision was
+/// raised at once, and whoever continued there never learned what the gap had hidden.
+#[test]
+fn a_gap_leaves_the_revision_as_it_was_until_the_complete_state_is_read() {
+    let mut cache = cache();
+    cache.apply_complete(batch(10, &["one", "two"]), at(0));
+    cache.take_changes();
+    let gap = ChangeBatch { scope: BatchScope::Gap, ..batch(40, &["three"]) };
+    assert!(!cache.apply_changes(gap, at(500)));
+    assert_eq!((cache.snapshot().revision, cache.snapshot().synced_at), (10, at(0)));
+    assert!(cache.is_incomplete());
+    assert_eq!(cache.take_changes(), RelayBatch { from: 10, to: 10, ..RelayBatch::default() });
+    cache.apply_complete(batch(40, &["one", "three"]), at(600));
+    assert!(!cache.is_incomplete());
+    let taken = cache.take_changes();
+    assert_eq!((taken.from, taken.to, taken.is_difference), (10, 40, true));
+    let names: Vec<String> = taken
+        .events
+        .iter()
+        .map(|it| match it {
+            ChangeEvent::Server(name, entry) => format!("{name} {}", entry.is_some()),
+            event => panic!("{event:?}"),
+        })
+        .collect();
+    assert_eq!(names, ["three true", "two false"], "with what the gap had shown");
+}
+
+/// Guards against a state that counts as current although the answer with it was a second on its way:
+/// the changes of that second are not in it.
+#[test]
+fn a_state_is_as_old_as_the_answer_that_confirmed_it() {
+    let mut cache = cache();
+    cache.apply_complete(batch(10, &["one"]), at(0));
+    let slow = ChangeBatch { age: Duration::from_millis(1_300), ..batch(20, &["two"]) };
+    cache.apply_changes(slow, at(2_000));
+    assert_eq!((cache.snapshot().revision, cache.snapshot().synced_at), (20, at(700)));
+    let older = ChangeBatch { age: Duration::from_millis(1_900), ..batch(20, &[]) };
+    cache.apply_changes(older, at(2_100));
+    assert_eq!(cache.snapshot().synced_at, at(700), "an older answer makes no state older");
+}
+
+/// Guards against a state that counts as current although the store had more changes than it sends at
+/// a time.
+#[test]
+fn a_partial_answer_does_not_confirm_the_state() {
+    let mut cache = cache();
+    cache.apply_complete(batch(10, &["one"]), at(0));
+    let partial = ChangeBatch { scope: BatchScope::Partial, ..batch(20, &["two"]) };
+    cache.apply_changes(partial, at(2_000));
+    assert_eq!((cache.snapshot().revision, cache.snapshot().synced_at), (20, at(0)));
+}
