entry: end a request with its time although a server accepts no connection

What callers saw: an answer up to half a second after the route's timeout (one of the promises that bear the name CONFIG), where a server's failure domain is cut off. Cause: a new connection had its own limit of 500 ms, whatever was left of the request's time. Change: a connection may take no longer than the request has.

--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -18,7 +18,8 @@
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header};
 use http_body_util::Full;
 use model::{
-    DomainName, Idempotency, MonoTime, NotRunReason, ServerName, ServiceName, UnknownReason,
+    DomainName, Idempotency, MonoTime, NotRunReason, ServerName, ServiceName, StepError,
+    UnknownReason,
 };
 use policy::{CallEnd, LoadEstimator, RetryBudget, SilenceDetector, choose_cheapest, retry_delay};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
--- a/crates/entry/src/traffic/exchange.rs
+++ b/crates/entry/src/traffic/exchange.rs
@@ -95,7 +95,7 @@
         let mut is_fresh = pooled.is_none();
         let mut connection = match pooled {
             Some(it) => it,
-            None => self.connect(address).await?,
+            None => self.connect(address, request).await?,
         };
         request.n_sends += 1;
         loop {
@@ -115,14 +115,25 @@
                 }
             }
             // A new connection shows whether the server is still listening.
-            connection = self.connect(address).await?;
+            connection = self.connect(address, request).await?;
             is_fresh = true;
         }
     }
 
-    async fn connect(&self, address: SocketAddr) -> Result<HttpConnection, SendError> {
+    /// Opens a connection within what is left of the request's time.
+    async fn connect(
+        &self,
+        address: SocketAddr,
+        request: &RequestState,
+    ) -> Result<HttpConnection, SendError> {
         let max_answer_bytes = self.settings.load().answer_limits.server;
-        HttpConnection::open(address, max_answer_bytes).await.map_err(SendError::NotConnected)
+        let time_left = request.time_left(self.clock.now());
+        let open = HttpConnection::open(address, max_answer_bytes);
+        let res = timeout(time_left, open).await.unwrap_or_else(|_| {
+            let err = StepError::new("connect", address, "the request's time is over");
+            Err(ExchangeError::NotConnected(err))
+        });
+        res.map_err(SendError::NotConnected)
     }
 
     /// Decides whether a server's answer is final and whether the request may be sent again.
