entry: let one request, not each in turn, find that connections to a server have gone silent

What callers saw: a 504 after their full time, one for each connection that the VM held to a server, although the server answered others. Evidence: only_one_request_fails_when_all_open_connections_to_a_server_have_gone_silent failed before: the second request got 504 as well. Change: after an attempt without an answer, idle connections to that server that have brought none since it was sent are closed.

--- a/crates/entry/src/traffic/exchange.rs
+++ b/crates/entry/src/traffic/exchange.rs
@@ -103,10 +103,14 @@
             let time_left = request.time_left(self.clock.now());
             let outgoing = self.build_request(request, original, server, time_left);
             let clock = self.clock;
+            let sent_at = clock.now();
             let exchange = connection.exchange(outgoing, move || clock.now());
             match timeout(time_left + LATE_ANSWER_GRACE, exchange).await {
                 Ok(Ok(answer)) => return Ok((answer, connection)),
-                Err(_) => return Err(SendError::NoAnswer),
+                Err(_) => {
+                    self.state.borrow_mut().pool.close_silent(address, sent_at);
+                    return Err(SendError::NoAnswer);
+                }
                 Ok(Err(error)) => {
                     self.state.borrow_mut().pool.close(address);
                     if is_fresh || !matches!(error, ExchangeError::NotConnected(_)) {
