entry: refuse a request for a route without a service as unavailable

What callers saw: a 404 for a route that is there, which says what only an older plan may say (CONFIG), and is not retried. Cause: a route that names no service was answered like no route. Evidence: a_route_without_a_service_is_refused_as_unavailable got 404 before. Change: 503, which has not run and may be retried.

--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -202,7 +202,7 @@
         };
         let draw = self.state.borrow_mut().rng.random::<f64>();
         let Some(service) = route.target(draw).cloned() else {
-            return self.refuse_unrouted(&id, StatusCode::NOT_FOUND, "no-service");
+            return self.refuse_unrouted(&id, StatusCode::SERVICE_UNAVAILABLE, "no-service");
         };
         let numeric_header = |name| -> Option<u64> {
             request.headers.get(name).and_then(|it: &HeaderValue| it.to_str().ok()?.parse().ok())
