entry: end the wait for a request's body with the request's time

Cause: the body had a limit of its own, twice that of a head; the request's time was looked at only once the body was complete. Evidence: a_request_whose_body_does_not_arrive_is_refused_when_its_time_is_over: 6.0 s before for 400 ms. Change: the wait ends with the shorter of both; the answer is 408, it has not run. A test shows that an added route is served like the first ones (it passed before as well).

--- a/crates/entry/src/http_server.rs
+++ b/crates/entry/src/http_server.rs
@@ -210,7 +210,8 @@
 /// Smallest buffer size that `hyper` accepts; it panics on less.
 const MIN_BUFFER_BYTES: usize = 8_192;
 
-/// Time for a body, as a multiple of the time for a head: the operators set no limit for it.
+/// Time for a body, as a multiple of the time for a head: the operators set no limit for it. It ends
+/// with the request's own time.
 const BODY_TIMEOUT_HEADS: u32 = 2;
 
 /// Reads the body, routes the request, and closes the connection after the answer during shutdown.
@@ -223,24 +224,25 @@
     let limits = traffic.limits();
     let (head, body) = request.into_parts();
     let body = Limited::new(body, limits.max_body_bytes).collect();
-    let mut response =
-        match tokio::time::timeout(limits.head_timeout * BODY_TIMEOUT_HEADS, body).await {
-            Ok(Ok(body)) => {
-                let request = CallerRequest {
-                    method: head.method,
-                    uri: head.uri,
-                    headers: head.headers,
-                    body: body.to_bytes(),
-                    arrived,
-                };
-                traffic.serve(request).await
-            }
-            Ok(Err(err)) if err.is::<http_body_util::LengthLimitError>() => {
-                local_answer(StatusCode::PAYLOAD_TOO_LARGE)
-            }
-            Ok(Err(_)) => local_answer(StatusCode::BAD_REQUEST),
-            Err(_) => local_answer(StatusCode::REQUEST_TIMEOUT),
-        };
+    let body_limit = limits.head_timeout * BODY_TIMEOUT_HEADS;
+    let body_limit = body_limit.min(traffic.time_limit(&head).unwrap_or(body_limit));
+    let mut response = match tokio::time::timeout(body_limit, body).await {
+        Ok(Ok(body)) => {
+            let request = CallerRequest {
+                method: head.method,
+                uri: head.uri,
+                headers: head.headers,
+                body: body.to_bytes(),
+                arrived,
+            };
+            traffic.serve(request).await
+        }
+        Ok(Err(err)) if err.is::<http_body_util::LengthLimitError>() => {
+            local_answer(StatusCode::PAYLOAD_TOO_LARGE)
+        }
+        Ok(Err(_)) => local_answer(StatusCode::BAD_REQUEST),
+        Err(_) => local_answer(StatusCode::REQUEST_TIMEOUT),
+    };
     if *phase.borrow() != ShutdownPhase::Serving {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -15,7 +15,9 @@
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header};
+use http::{
+    HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri, header,
+};
 use http_body_util::Full;
 use model::{
     DomainName, Idempotency, MonoTime, NotRunReason, ServerName, ServiceName, StepError,
@@ -172,6 +174,20 @@
         self.channel.current().plan.as_ref().map(|it| it.limits).unwrap_or_default()
     }
 
+    /// Time within which a request with this head must be answered; `None` if no route matches it.
+    pub fn time_limit(&self, head: &http::request::Parts) -> Option<Duration> {
+        let snapshot = self.channel.current();
+        let host = head.headers.get(header::HOST)?.to_str().ok()?;
+        let route = snapshot.plan.as_ref()?.route(host, head.uri.path())?;
+        Some(self.route_time_limit(route, &head.headers))
+    }
+
+    /// The route's time limit, or the caller's own if that is shorter.
+    fn route_time_limit(&self, route: &PlanRoute, headers: &HeaderMap) -> Duration {
+        let time_left = number_in(headers, &self.format.headers().time_left);
+        time_left.map_or(route.timeout, |it| Duration::from_millis(it).min(route.timeout))
+    }
+
     /// Replaces the settings; changed addresses take effect only after a restart.
     pub fn adopt_settings(&self, settings: EntrySettings) {
         self.settings.store(Arc::new(settings));
@@ -204,23 +220,20 @@
         let Some(service) = route.target(draw).cloned() else {
             return self.refuse_unrouted(&id, StatusCode::SERVICE_UNAVAILABLE, "no-service");
         };
-        let numeric_header = |name| -> Option<u64> {
-            request.headers.get(name).and_then(|it: &HeaderValue| it.to_str().ok()?.parse().ok())
-        };
         let is_keyed = plan.services.get(&service).is_some_and(|it| it.is_keyed);
-        let key =
-            numeric_header(&names.key).and_then(|it| u16::try_from(it).ok()).filter(|_| is_keyed);
+        let key = number_in(&request.headers, &names.key)
+            .and_then(|it| u16::try_from(it).ok())
+            .filter(|_| is_keyed);
         if is_keyed && key.is_none() {
             return self.refuse_unrouted(&id, StatusCode::BAD_REQUEST, "no-key");
         }
-        let time_limit =
-            numeric_header(&names.time_left).map_or(route.timeout, Duration::from_millis);
+        let time_limit = self.route_time_limit(&route, &request.headers);
         let mut state = RequestState {
             id,
             service,
             key,
             arrived: request.arrived,
-            deadline: request.arrived + time_limit.min(route.timeout),
+            deadline: request.arrived + time_limit,
             route,
             tried: SmallVec::new(),
             n_sends: 0,
@@ -438,6 +451,11 @@
     }
 }
 
+/// The number in a header; `None` if there is none.
+fn number_in(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
+
 /// Longest wait for a newer snapshot after a server answered that it does not own the key.
 const MISDIRECTED_WAIT: Duration = Duration::from_millis(150);
 
