entry: count evacuations and drains from the last state without them

Cause: the 4 s for which owners of keys in the domain still get requests counted from when the VM had learned of the evacuation. The VM had been started 2 s after it, in place of another. The class: when this process learned of something is not when it began. Drains counted the same way; a constant stood for how late a VM may learn of them. Change: both count from the last state that the store had confirmed without them; a process that first sees them does not know since when, and sends nothing. The test of late drains starts from a state that shows the server in service, as the bound now depends on it: a VM that sees a draining server first must not use it at all, which two new tests demand.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -50,7 +50,8 @@
 pub use server_reports::{OutgoingReports, ReportBatch, ReportCache, ServerReport};
 pub use settings_file::{AnswerLimits, EntrySettings, RawEntrySettings, RetryBounds};
 pub use snapshot::{
-    AssignerRecord, CachedServer, StateSnapshot, StoredAssigner, StoredShards, VmPresence,
+    AssignerRecord, CachedServer, LeaveStart, StateSnapshot, StoredAssigner, StoredShards,
+    VmPresence,
 };
 pub use snapshot_channel::SnapshotChannel;
 pub use source_selector::{ChangeSource, SourceFailure, SourceSelector};
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -27,8 +27,8 @@
     pub servers: Arc<BTreeMap<ServerName, CachedServer>>,
     /// Index of `servers` by service.
     pub by_service: Arc<BTreeMap<ServiceName, Vec<ServerName>>>,
-    /// Evacuated failure domains, with the time at which this process learned of the evacuation.
-    pub evacuated: BTreeMap<DomainName, MonoTime>,
+    /// Evacuated failure domains.
+    pub evacuated: BTreeMap<DomainName, LeaveStart>,
     /// Holders of the key ranges, by service.
     pub shards: BTreeMap<ServiceName, StoredShards>,
     /// Current assigner, or one that has resigned; `None` if there is no record of either.
@@ -50,20 +50,42 @@
     pub entry: Arc<ServerEntry>,
     /// When it has warmed up, according to its entry.
     pub cold_until: MonoTime,
-    /// When this process learned that the server is draining.
-    pub draining_since: Option<MonoTime>,
+    /// Since when the server is draining; `None` if it is not.
+    pub draining_since: Option<LeaveStart>,
     /// Whether its entry disappeared from the store around an outage, so that either the server is
     /// gone or only its lease has lapsed.
     pub is_missing: bool,
 }
 
+/// Since when a server is draining or a failure domain evacuated, as far as it is known here.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LeaveStart {
+    /// Since a moment after this time, at which the store last confirmed that it was in service. This
+    /// process may have learned of it much later.
+    After(MonoTime),
+    /// Since before this process first read the state.
+    Unknown,
+}
+
+impl LeaveStart {
+    /// Whether it certainly began less than `length` before `now`.
+    pub fn is_within(self, length: Duration, now: MonoTime) -> bool {
+        match self {
+            Self::After(confirmed_at) => now.since(confirmed_at) < length,
+            Self::Unknown => false,
+        }
+    }
+}
+
+/// Time for a request to reach the server, by which it is sent before the server's time is over.
+const SEND_MARGIN: Duration = Duration::from_millis(200);
+
 impl CachedServer {
     /// Whether requests for the server's keys may still be sent to it. It accepts them for `drain`
-    /// after it has published that it is draining, which this process has learned up to `max_delay`
-    /// later.
-    pub fn is_usable_owner(&self, drain: Duration, max_delay: Duration, now: MonoTime) -> bool {
-        let usable = drain.saturating_sub(max_delay);
-        self.draining_since.is_none_or(|it| now.since(it) < usable)
+    /// after it has published that it is draining.
+    pub fn is_usable_owner(&self, drain: Duration, now: MonoTime) -> bool {
+        let usable = drain.saturating_sub(SEND_MARGIN);
+        self.draining_since.is_none_or(|it| it.is_within(usable, now))
     }
 
     /// The current instance of the server.
--- a/crates/entry/src/state_cache.rs
+++ b/crates/entry/src/state_cache.rs
@@ -13,8 +13,8 @@
 use slog::{Logger, info, warn};
 
 use crate::{
-    BatchScope, CachedServer, ChangeBatch, ChangeEvent, RelayBatch, ServerEntry, StateSnapshot,
-    StoredAssigner, StoredShards,
+    BatchScope, CachedServer, ChangeBatch, ChangeEvent, LeaveStart, RelayBatch, ServerEntry,
+    StateSnapshot, StoredAssigner, StoredShards,
     datagrams::{AckedRange, ShardUpdate},
 };
 
@@ -228,7 +228,7 @@
                 let is_new = !self.snapshot.evacuated.contains_key(&domain);
                 if is_new {
                     info!(self.log, "domain-evacuated"; "domain" => %domain);
-                    self.snapshot.evacuated.insert(domain, now);
+                    self.snapshot.evacuated.insert(domain, self.leave_start());
                 }
                 is_new
             }
@@ -250,10 +250,19 @@
         }
     }
 
+    /// Since when what was in service in the state before this batch, and no longer is, has been
+    /// leaving.
+    fn leave_start(&self) -> LeaveStart {
+        match self.has_complete_state {
+            true => LeaveStart::After(self.snapshot.synced_at),
+            false => LeaveStart::Unknown,
+        }
+    }
+
     fn update_server(&mut self, name: ServerName, entry: ServerEntry, now: MonoTime) -> bool {
         let cold_until = now + entry.cold_left;
+        let leave_start = self.leave_start();
         let cached = Arc::make_mut(&mut self.snapshot.servers).get_mut(&name);
-        let draining_since = entry.is_draining.then_some(now);
         match cached {
             Some(cached)
                 if cached.entry.born == entry.born && cached.entry.address == entry.address =>
@@ -264,12 +273,9 @@
                     || !cached.entry.is_equal_but_for_cold_time(&entry)
                     || (cached.cold_until > now) != is_cold
                     || (is_cold && cold_until > cached.cold_until + COLD_TIME_TOLERANCE);
-                // A server that is still draining keeps its time; within the same instance, only an
-                // entry that is not draining clears it.
-                cached.draining_since = match (cached.draining_since, draining_since) {
-                    (Some(since), Some(_)) => Some(since),
-                    (_, it) => it,
-                };
+                // A server that is still draining keeps its time.
+                cached.draining_since =
+                    entry.is_draining.then(|| cached.draining_since.unwrap_or(leave_start));
                 cached.cold_until = cold_until;
                 self.is_index_stale |= cached.entry.service != entry.service;
                 if cached.entry.as_ref() != &entry {
@@ -290,10 +296,12 @@
                         "domain" => %entry.domain, "born" => entry.born,
                         "cold_ms" => entry.cold_left.as_millis() as u64);
                 }
+                let entry_is_draining = entry.is_draining;
                 let server = CachedServer {
                     entry: Arc::new(entry),
                     cold_until,
-                    draining_since,
+                    // It may have been draining for long where its entry was not seen.
+                    draining_since: entry_is_draining.then_some(LeaveStart::Unknown),
                     is_missing: false,
                 };
                 Arc::make_mut(&mut self.snapshot.servers).insert(name, server);
--- a/crates/entry/src/traffic/choice.rs
+++ b/crates/entry/src/traffic/choice.rs
@@ -9,8 +9,7 @@
 /// Fraction of a server's connections that all routers together use.
 const CONNECTION_SHARE: f64 = 0.85;
 
-/// Time after this VM learned of an evacuation for which owners of keys in that domain still get
-/// requests.
+/// Time after the start of an evacuation for which owners of keys in that domain still get requests.
 const EVACUATION_GRACE: Duration = Duration::from_millis(4_000);
 
 /// Spread of the random cost factor that makes routers with the same reports choose differently.
@@ -60,12 +59,11 @@
         let Some(server) = server.filter(|_| entry.is_settled()) else {
             return SendChoice::AwaitChange(NotRunReason::NoOwner);
         };
-        let settings = self.settings.load();
-        if !server.is_usable_owner(settings.drain, settings.change_timing.max_delay(), now) {
+        if !server.is_usable_owner(self.settings.load().drain, now) {
             return SendChoice::AwaitChange(NotRunReason::NoOwner);
         }
-        let evacuated_at = snapshot.evacuated.get(&server.entry.domain);
-        if evacuated_at.is_some_and(|it| now.since(*it) >= EVACUATION_GRACE) {
+        let evacuated_since = snapshot.evacuated.get(&server.entry.domain);
+        if evacuated_since.is_some_and(|it| !it.is_within(EVACUATION_GRACE, now)) {
             return SendChoice::AwaitChange(NotRunReason::NoOwner);
         }
         let mut state = self.state.borrow_mut();
--- a/crates/entry/tests/it/change_delay.rs
+++ b/crates/entry/tests/it/change_delay.rs
@@ -2,10 +2,30 @@
 
 use std::time::Duration;
 
+use entry::ChangeTiming;
 use tokio::task::LocalSet;
 
 use crate::fleet::{CHANGE_DEADLINE, Fleet, StoreFault, later_than};
 
+/// Guards against limits that add up to more than the time that the operators allow.
+#[test]
+fn the_longest_delay_of_a_change_is_shorter_than_its_deadline() {
+    for deadline_ms in [1_000, 2_000, 2_500, 10_000] {
+        let deadline = Duration::from_millis(deadline_ms);
+        let timing = ChangeTiming::for_deadline(deadline);
+        let limits = [
+            Duration::ZERO,
+            timing.watch_cycle,
+            timing.relay_limit,
+            timing.follower_limit,
+            timing.catch_up_age,
+            timing.max_delay(),
+            deadline,
+        ];
+        assert!(limits.is_sorted_by(|a, b| a < b), "{limits:?}");
+    }
+}
+
 /// Guards against leaving sources that work for one that doesn't: the assigner's VM is the last relay
 /// of its domain; once its lease had expired because it was frozen, it became the first, and both its
 /// neighbors waited 2.5 s for its complete state.
--- a/crates/entry/tests/it/state_cache.rs
+++ b/crates/entry/tests/it/state_cache.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use entry::{
-    AckedRange, BatchScope, ChangeBatch, ChangeEvent, ChangeTiming, RelayBatch, ServerEntry,
+    AckedRange, BatchScope, ChangeBatch, ChangeEvent, LeaveStart, RelayBatch, ServerEntry,
     ShardUpdate, StateCache, StoredShards,
 };
 use model::{MonoTime, ServiceName};
@@ -144,20 +144,52 @@
 #[test]
 fn a_draining_owner_is_unused_after_its_drain_time_even_if_the_change_arrives_late() {
     let mut cache = cache();
-    let leaving = ServerEntry { is_draining: true, ..server("one") };
-    let event = ChangeEvent::Server(leaving.name.clone(), Some(leaving));
-    cache.apply_complete(
-        ChangeBatch { revision: 1, events: vec![event], ..ChangeBatch::default() },
-        at(1_400),
-    );
+    cache.apply_complete(batch(1, &["one"]), at(0));
+    cache.apply_changes(draining("one", 2), at(1_400));
     let owner = &cache.snapshot().servers["one"];
     let drain = Duration::from_secs(2);
-    let max_delay = ChangeTiming::for_deadline(drain).max_delay();
-    assert!(owner.is_usable_owner(drain, max_delay, at(1_500)));
+    assert!(owner.is_usable_owner(drain, at(1_500)));
     assert!(
-        !owner.is_usable_owner(drain, max_delay, at(1_950)),
+        !owner.is_usable_owner(drain, at(1_950)),
         "the server's drain time of two seconds may be over"
     );
+    cache.apply_changes(draining("one", 3), at(1_960));
+    assert!(!cache.snapshot().servers["one"].is_usable_owner(drain, at(1_970)), "reported again");
+}
+
+/// Guards against sending to a server after its drain time because this process has just started, or
+/// sees the server for the first time: it may have been draining for long.
+#[test]
+fn a_server_that_was_draining_when_it_was_first_seen_is_no_usable_owner() {
+    let drain = Duration::from_secs(2);
+    let mut started = cache();
+    started.apply_complete(draining("one", 1), at(100));
+    assert!(!started.snapshot().servers["one"].is_usable_owner(drain, at(110)));
+    let mut running = cache();
+    running.apply_complete(batch(1, &["two"]), at(0));
+    running.apply_changes(draining("one", 2), at(3_000));
+    assert!(!running.snapshot().servers["one"].is_usable_owner(drain, at(3_010)));
+}
+
+fn draining(name: &str, revision: u64) -> ChangeBatch {
+    let entry = ServerEntry { is_draining: true, ..server(name) };
+    let event = ChangeEvent::Server(entry.name.clone(), Some(entry));
+    ChangeBatch { revision, events: vec![event], ..ChangeBatch::default() }
+}
+
+/// Guards against requests to an evacuated domain after its time: the evacuation counts from the last
+/// state without it, not from when this VM learned of it.
+#[test]
+fn an_evacuation_counts_from_the_last_state_without_it() {
+    let domain = server("one").domain;
+    let evacuation = ChangeEvent::Evacuation(domain.clone(), true);
+    let mut started = cache();
+    started.apply_complete(records(1, vec![evacuation.clone()]), at(100));
+    assert_eq!(started.snapshot().evacuated[&domain], LeaveStart::Unknown);
+    let mut running = cache();
+    running.apply_complete(batch(1, &["one"]), at(1_000));
+    running.apply_changes(records(2, vec![evacuation]), at(7_000));
+    assert_eq!(running.snapshot().evacuated[&domain], LeaveStart::After(at(1_000)));
 }
 
 /// Guards against reviving removed servers: a relay that had been partitioned sent its clients
