--- a/crates/entry/src/state_cache.rs
+++ b/crates/entry/src/state_cache.rs
@@ -1,5 +1,8 @@
 //! Cached state: applies changes from the store, a relay or the assigner to one state per process.
 
+mod records;
+mod servers;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
@@ -7,16 +10,12 @@
 };
 
 use bytes::Bytes;
-use model::{DomainName, MonoTime, ServerName, ServiceName, VmName};
-use ownership::{KeyRange, ShardDelta, ShardRecord};
-use serde::{Serialize, de::DeserializeOwned};
+use model::{DomainName, MonoTime, ServerName, ServiceName};
+use ownership::KeyRange;
+use serde::Serialize;
 use slog::{Logger, info, warn};
 
-use crate::{
-    BatchScope, CachedServer, ChangeBatch, ChangeEvent, LeaveStart, RelayBatch, ServerEntry,
-    StateSnapshot, StoredAssigner, StoredShards,
-    datagrams::{AckedRange, ShardUpdate},
-};
+use crate::{BatchScope, ChangeBatch, ChangeEvent, RelayBatch, StateSnapshot, StoredShards};
 
 /// Name of the assigner's record.
 pub const ASSIGNER_RECORD: &str = "assigner";
@@ -31,26 +30,12 @@
 /// because its lease may have lapsed in the outage.
 const LAPSE_WINDOW: Duration = Duration::from_millis(2_300);
 
-/// Difference in the end of a cold period that the delay of its reports explains. A longer one means
-/// that the server has become cold again.
-const COLD_TIME_TOLERANCE: Duration = Duration::from_millis(500);
-
 /// Encodes a record of the entry processes as JSON.
 pub fn encode_record<T: Serialize>(value: &T) -> Bytes {
     // These records contain nothing that JSON cannot express.
     Bytes::from(serde_json::to_vec(value).unwrap_or_default())
 }
 
-fn decode_record<T: DeserializeOwned>(name: &str, value: &Bytes, log: &Logger) -> Option<T> {
-    match serde_json::from_slice(value) {
-        Ok(it) => Some(it),
-        Err(err) => {
-            warn!(log, "record-unreadable"; "record" => name, "cause" => %err);
-            None
-        }
-    }
-}
-
 /// The cached state, and what is needed to keep it up to date.
 #[derive(Debug)]
 pub struct StateCache {
@@ -250,82 +235,6 @@
         }
     }
 
-    /// Since when what was in service in the state before this batch, and no longer is, has been
-    /// leaving.
-    fn leave_start(&self) -> LeaveStart {
-        match self.has_complete_state {
-            true => LeaveStart::After(self.snapshot.synced_at),
-            false => LeaveStart::Unknown,
-        }
-    }
-
-    fn update_server(&mut self, name: ServerName, entry: ServerEntry, now: MonoTime) -> bool {
-        let cold_until = now + entry.cold_left;
-        let leave_start = self.leave_start();
-        let cached = Arc::make_mut(&mut self.snapshot.servers).get_mut(&name);
-        match cached {
-            Some(cached)
-                if cached.entry.born == entry.born && cached.entry.address == entry.address =>
-            {
-                let was_missing = std::mem::take(&mut cached.is_missing);
-                let is_cold = cold_until > now;
-                let is_changed = was_missing
-                    || !cached.entry.is_equal_but_for_cold_time(&entry)
-                    || (cached.cold_until > now) != is_cold
-                    || (is_cold && cold_until > cached.cold_until + COLD_TIME_TOLERANCE);
-                // A server that is still draining keeps its time.
-                cached.draining_since =
-                    entry.is_draining.then(|| cached.draining_since.unwrap_or(leave_start));
-                cached.cold_until = cold_until;
-                self.is_index_stale |= cached.entry.service != entry.service;
-                if cached.entry.as_ref() != &entry {
-                    cached.entry = Arc::new(entry);
-                }
-                if is_changed {
-                    info!(self.log, "server-changed"; "server" => %name,
-                        "leaving" => cached.draining_since.is_some(),
-                        "cold" => cached.cold_until > now);
-                }
-                is_changed
-            }
-            _ => {
-                // The first read lists all servers; one line tells how many.
-                if self.has_complete_state {
-                    info!(self.log, "server-joined"; "server" => %name,
-                        "service" => %entry.service, "address" => %entry.address,
-                        "domain" => %entry.domain, "born" => entry.born,
-                        "cold_ms" => entry.cold_left.as_millis() as u64);
-                }
-                let entry_is_draining = entry.is_draining;
-                let server = CachedServer {
-                    entry: Arc::new(entry),
-                    cold_until,
-                    // It may have been draining for long where its entry was not seen.
-                    draining_since: entry_is_draining.then_some(LeaveStart::Unknown),
-                    is_missing: false,
-                };
-                Arc::make_mut(&mut self.snapshot.servers).insert(name, server);
-                self.is_index_stale = true;
-                true
-            }
-        }
-    }
-
-    fn remove_server(&mut self, name: &ServerName, now: MonoTime) -> bool {
-        let is_lapse = self.is_lapse_possible(now);
-        let Some(server) = Arc::make_mut(&mut self.snapshot.servers).get_mut(name) else {
-            return false;
-        };
-        if is_lapse {
-            info!(self.log, "server-missing"; "server" => %name);
-            return !std::mem::replace(&mut server.is_missing, true);
-        }
-        info!(self.log, "server-gone"; "server" => %name);
-        Arc::make_mut(&mut self.snapshot.servers).remove(name);
-        self.is_index_stale = true;
-        true
-    }
-
     /// Whether a complete read is due, because servers removed around an outage were kept as
     /// missing. Returns true only once per outage.
     pub fn take_complete_read_due(&mut self, now: MonoTime) -> bool {
@@ -335,171 +244,6 @@
         }
         is_due
     }
-
-    fn update_record(&mut self, name: &str, revision: u64, value: Option<Bytes>) -> bool {
-        if name == ASSIGNER_RECORD {
-            return self.update_assigner(revision, value);
-        }
-        if let Some(service) = name.strip_prefix(SHARDS_PREFIX) {
-            return self.update_shards(name, service, revision, value);
-        }
-        if let Some(vm) = name.strip_prefix(VM_PREFIX) {
-            return self.update_vm(name, vm, value);
-        }
-        false
-    }
-
-    fn update_assigner(&mut self, revision: u64, value: Option<Bytes>) -> bool {
-        // An equal revision passes, so that a complete read can remove the record.
-        if revision < self.snapshot.assigner_revision {
-            return false;
-        }
-        let assigner = match value.map(|it| decode_record(ASSIGNER_RECORD, &it, &self.log)) {
-            None => None,
-            Some(Some(record)) => Some(StoredAssigner { revision, record }),
-            // What can't be read says nothing about who holds the lease.
-            Some(None) => return false,
-        };
-        self.snapshot.assigner_revision = revision;
-        let is_changed = assigner != self.snapshot.assigner;
-        self.snapshot.assigner = assigner;
-        is_changed
-    }
-
-    fn update_shards(
-        &mut self,
-        name: &str,
-        service: &str,
-        revision: u64,
-        value: Option<Bytes>,
-    ) -> bool {
-        let (Some(value), Ok(service)) = (value, ServiceName::try_from(service)) else {
-            return false;
-        };
-        if revision <= self.stored_revision(&service) {
-            return false;
-        }
-        let record: Option<ShardRecord> = decode_record(name, &value, &self.log);
-        let Some(record) = record.filter(ShardRecord::is_valid) else {
-            warn!(self.log, "record-invalid"; "record" => name, "revision" => revision);
-            return false;
-        };
-        self.set_shards(service, StoredShards { revision, record: Arc::new(record) });
-        false
-    }
-
-    fn stored_revision(&self, service: &ServiceName) -> u64 {
-        self.stored.get(service).map_or(0, |it| it.revision)
-    }
-
-    fn update_vm(&mut self, name: &str, vm: &str, value: Option<Bytes>) -> bool {
-        let Ok(vm) = VmName::try_from(vm) else {
-            return false;
-        };
-        let vms = Arc::make_mut(&mut self.snapshot.vms);
-        match value.map(|it| decode_record(name, &it, &self.log)) {
-            None => vms.remove(&vm).is_some(),
-            Some(Some(presence)) => {
-                let is_changed = vms.get(&vm) != Some(&presence);
-                vms.insert(vm, presence);
-                is_changed
-            }
-            // Its lease, not this process, decides whether the VM is gone.
-            Some(None) => false,
-        }
-    }
-
-    /// Applies a shard update from another VM; returns whether it is contiguous with the cached
-    /// record or already part of it.
-    pub fn apply_shard_update(&mut self, update: ShardUpdate) -> bool {
-        let ShardUpdate { service, base, revision, delta } = update;
-        let cached = self.stored.get(&service);
-        if cached.is_some_and(|it| it.revision >= revision) {
-            return true;
-        }
-        let cached = cached.filter(|it| it.revision == base);
-        let Some(record) = cached.and_then(|it| delta.apply(&it.record)) else {
-            return false;
-        };
-        self.set_shards(service, StoredShards { revision, record: Arc::new(record) });
-        true
-    }
-
-    /// Applies a grant that the new holder has acknowledged, before the store's record shows the
-    /// acknowledgement.
-    pub fn apply_acked_range(&mut self, acked: AckedRange) {
-        // An older record does not contain the grant yet.
-        let is_current = self.stored_revision(&acked.service) >= acked.revision;
-        if is_current {
-            let ranges = self.acked.entry(acked.service.clone()).or_default();
-            ranges.push((acked.range, acked.token));
-            self.merge_acked(&acked.service);
-        }
-    }
-
-    /// Replaces a shard record with one that this process has read or written or has received from
-    /// another VM. The caller has checked that it is newer.
-    pub fn set_shards(&mut self, service: ServiceName, stored: StoredShards) {
-        let old = self.stored.insert(service.clone(), stored.clone());
-        let name = format!("{SHARDS_PREFIX}{service}");
-        self.changes.push(match old {
-            Some(old) => ChangeEvent::Shards(ShardUpdate {
-                service: service.clone(),
-                base: old.revision,
-                revision: stored.revision,
-                delta: ShardDelta::between(&old.record, &stored.record),
-            }),
-            None => {
-                let value = Some(encode_record(&*stored.record));
-                ChangeEvent::Record { name, revision: stored.revision, value }
-            }
-        });
-        self.merge_acked(&service);
-    }
-
-    /// Updates the snapshot with the stored shards, in which the acknowledged ranges are settled.
-    fn merge_acked(&mut self, service: &ServiceName) {
-        let Some(StoredShards { revision, record }) = self.stored.get(service).cloned() else {
-            return;
-        };
-        let acked = self.acked.entry(service.clone()).or_default();
-        // Drops acknowledgements of entries that the record shows as settled, or no longer contains
-        // with the same token and a first key within the range.
-        acked.retain(|(range, token)| {
-            record.entries.iter().any(|it| {
-                !it.is_settled() && it.holder.token == *token && range.contains(it.range.first)
-            })
-        });
-        let record = match acked.is_empty() {
-            true => record,
-            false => {
-                let mut merged = (*record).clone();
-                for (range, token) in acked {
-                    merged.settle(*range, *token);
-                }
-                Arc::new(merged)
-            }
-        };
-        self.snapshot.shards.insert(service.clone(), StoredShards { revision, record });
-    }
-
-    /// The shard record as stored, in which acknowledged ranges may not be settled yet.
-    pub fn stored_shards(&self, service: &ServiceName) -> Option<StoredShards> {
-        self.stored.get(service).cloned()
-    }
-
-    /// Sets the assigner's record that this process has just written, unless the cached one is as
-    /// new.
-    pub fn set_assigner(&mut self, assigner: StoredAssigner) {
-        if assigner.revision > self.snapshot.assigner_revision {
-            let StoredAssigner { revision, record } = &assigner;
-            let value = Some(encode_record(record));
-            let (name, revision) = (ASSIGNER_RECORD.to_owned(), *revision);
-            self.changes.push(ChangeEvent::Record { name, revision, value });
-            self.snapshot.assigner_revision = revision;
-            self.snapshot.assigner = Some(assigner);
-        }
-    }
 }
 
 /// Names that a complete read contains.
--- a/crates/entry/src/state_sync.rs
+++ b/crates/entry/src/state_sync.rs
@@ -5,6 +5,7 @@
     cell::{Cell, RefCell},
     net::IpAddr,
     rc::Rc,
+    sync::Arc,
     time::Duration,
 };
 
@@ -345,7 +346,9 @@
             RelayedChanges::Complete(_) if reply.revision < known => {
                 return Err(refused("its state is older than this VM's"));
             }
-            RelayedChanges::Complete(events) => (unwrap_events(events), BatchScope::Current, true),
+            RelayedChanges::Complete(events) => {
+                (Arc::unwrap_or_clone(events), BatchScope::Current, true)
+            }
             RelayedChanges::Since(batches) => {
                 // The store may have been asked in the meantime.
                 let missing: Vec<_> = batches.into_iter().filter(|it| it.to > known).collect();
@@ -423,7 +426,3 @@
         self.selector.borrow_mut().record_failure(source, failure, now);
     }
 }
-
-fn unwrap_events(events: std::sync::Arc<Vec<crate::ChangeEvent>>) -> Vec<crate::ChangeEvent> {
-    std::sync::Arc::unwrap_or_clone(events)
-}
--- a/crates/entry/tests/it/change_delay.rs
+++ b/crates/entry/tests/it/change_delay.rs
@@ -7,6 +7,20 @@
 
 use crate::fleet::{CHANGE_DEADLINE, Fleet, StoreFault, later_than};
 
+/// Checks that each VM has each plan in time for `length`, but for those that are frozen.
+async fn check_delays(fleet: &Fleet, length: Duration, frozen: &[&str]) {
+    let mut delays = fleet.measure_delays(length).await;
+    delays.retain(|vm, _| !frozen.contains(&vm.as_str()));
+    assert_eq!(later_than(&delays, CHANGE_DEADLINE), Default::default());
+}
+
+/// Makes the calls of all VMs of a domain to the store fail.
+fn set_domain_fault(fleet: &Fleet, domain: &str, fault: StoreFault) {
+    for vm in fleet.vms.iter().filter(|it| it.presence.domain.as_str() == domain) {
+        fleet.store.set_fault(&vm.name, Some(fault));
+    }
+}
+
 /// Guards against limits that add up to more than the time that the operators allow.
 #[test]
 fn the_longest_delay_of_a_change_is_shorter_than_its_deadline() {
@@ -37,9 +51,7 @@
         fleet.measure_delays(Duration::from_secs(1)).await;
         fleet.vm("a-1").set_frozen(true);
         fleet.set_assigner(None);
-        let mut delays = fleet.measure_delays(Duration::from_secs(5)).await;
-        delays.retain(|vm, _| vm.as_str() != "a-1");
-        assert_eq!(later_than(&delays, CHANGE_DEADLINE), Default::default());
+        check_delays(&fleet, Duration::from_secs(5), &["a-1"]).await;
     };
     LocalSet::new().run_until(test).await;
 }
@@ -53,9 +65,7 @@
         fleet.measure_delays(Duration::from_secs(1)).await;
         fleet.vm("a-1").set_frozen(true);
         fleet.vm("a-2").set_frozen(true);
-        let mut delays = fleet.measure_delays(Duration::from_secs(6)).await;
-        delays.retain(|vm, _| !["a-1", "a-2"].contains(&vm.as_str()));
-        assert_eq!(later_than(&delays, CHANGE_DEADLINE), Default::default());
+        check_delays(&fleet, Duration::from_secs(6), &["a-1", "a-2"]).await;
     };
     LocalSet::new().run_until(test).await;
 }
@@ -68,8 +78,7 @@
         let fleet = Fleet::start(&["a"], 6).await;
         fleet.measure_delays(Duration::from_secs(1)).await;
         fleet.store.set_fault(&fleet.vm("a-1").name, Some(StoreFault::Silent));
-        let delays = fleet.measure_delays(Duration::from_secs(5)).await;
-        assert_eq!(later_than(&delays, CHANGE_DEADLINE), Default::default());
+        check_delays(&fleet, Duration::from_secs(5), &[]).await;
     };
     LocalSet::new().run_until(test).await;
 }
@@ -81,13 +90,10 @@
     let test = async {
         let fleet = Fleet::start(&["a", "b"], 4).await;
         fleet.measure_delays(Duration::from_secs(1)).await;
-        for vm in fleet.vms.iter().filter(|it| it.presence.domain.as_str() == "a") {
-            fleet.store.set_fault(&vm.name, Some(StoreFault::Silent));
-        }
+        set_domain_fault(&fleet, "a", StoreFault::Silent);
         // By then each VM has found that the store does not answer.
         fleet.measure_delays(Duration::from_secs(3)).await;
-        let delays = fleet.measure_delays(Duration::from_secs(5)).await;
-        assert_eq!(later_than(&delays, CHANGE_DEADLINE), Default::default());
+        check_delays(&fleet, Duration::from_secs(5), &[]).await;
     };
     LocalSet::new().run_until(test).await;
 }
@@ -99,11 +105,8 @@
     let test = async {
         let fleet = Fleet::start(&["a", "b"], 4).await;
         fleet.measure_delays(Duration::from_secs(1)).await;
-        for vm in fleet.vms.iter().filter(|it| it.presence.domain.as_str() == "a") {
-            fleet.store.set_fault(&vm.name, Some(StoreFault::Refused));
-        }
-        let delays = fleet.measure_delays(Duration::from_secs(6)).await;
-        assert_eq!(later_than(&delays, CHANGE_DEADLINE), Default::default());
+        set_domain_fault(&fleet, "a", StoreFault::Refused);
+        check_delays(&fleet, Duration::from_secs(6), &[]).await;
     };
     LocalSet::new().run_until(test).await;
 }
@@ -120,10 +123,8 @@
         let n_usual = fleet.store.n_calls() - before;
         fleet.vm("a-1").set_frozen(true);
         let before = fleet.store.n_calls();
-        let mut delays = fleet.measure_delays(Duration::from_secs(4)).await;
+        check_delays(&fleet, Duration::from_secs(4), &["a-1"]).await;
         let n_calls = fleet.store.n_calls() - before;
-        delays.retain(|vm, _| vm.as_str() != "a-1");
-        assert_eq!(later_than(&delays, CHANGE_DEADLINE), Default::default());
         let n_followers = fleet.vms.len() as u64 - 1;
         assert!(n_calls <= n_usual + n_followers, "{n_calls} calls, usually {n_usual}");
     };
--- a/crates/entry/tests/it/connections.rs
+++ b/crates/entry/tests/it/connections.rs
@@ -9,7 +9,7 @@
 use settings::ProcessClock;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpListener,
+    net::{TcpListener, TcpStream},
     task::LocalSet,
     time::timeout,
 };
@@ -17,17 +17,22 @@
 /// Limit on answers; no answer of these tests comes near it unless it says so.
 const MAX_ANSWER_BYTES: usize = 64 * 1024;
 
+/// A connection and the socket of its peer.
+async fn open_connection() -> (HttpConnection, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+    let address = listener.local_addr().expect("address");
+    let connection = HttpConnection::open(address, MAX_ANSWER_BYTES).await.expect("open");
+    let (peer, _) = listener.accept().await.expect("accepted");
+    (connection, peer)
+}
+
 /// Guards against late delivery of a cancelled grant: a plain close let the buffered grant arrive
 /// after a partition, so the connection must be reset.
 #[tokio::test(flavor = "current_thread")]
 async fn dropping_an_exchange_resets_its_connection() {
     LocalSet::new()
         .run_until(async {
-            let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
-            let address = listener.local_addr().expect("address");
-            let mut connection =
-                HttpConnection::open(address, MAX_ANSWER_BYTES).await.expect("open");
-            let (mut peer, _) = listener.accept().await.expect("accepted");
+            let (mut connection, mut peer) = open_connection().await;
             let request = Request::new(Bytes::from_static(b"order").into());
             let exchange = connection.exchange(request, MonoTime::default);
             let res = timeout(Duration::from_millis(50), exchange).await;
@@ -46,11 +51,7 @@
 async fn a_request_on_a_closed_connection_counts_as_not_sent() {
     LocalSet::new()
         .run_until(async {
-            let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
-            let address = listener.local_addr().expect("address");
-            let mut connection =
-                HttpConnection::open(address, MAX_ANSWER_BYTES).await.expect("open");
-            let (peer, _) = listener.accept().await.expect("accepted");
+            let (mut connection, peer) = open_connection().await;
             drop(peer);
             tokio::time::sleep(Duration::from_millis(20)).await;
             let request = Request::new(Bytes::from_static(b"order").into());
@@ -116,11 +117,7 @@
 async fn an_answer_tells_when_its_head_had_arrived() {
     LocalSet::new()
         .run_until(async {
-            let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
-            let address = listener.local_addr().expect("address");
-            let mut connection =
-                HttpConnection::open(address, MAX_ANSWER_BYTES).await.expect("open");
-            let (mut peer, _) = listener.accept().await.expect("accepted");
+            let (mut connection, mut peer) = open_connection().await;
             tokio::spawn(async move {
                 let head = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n";
                 peer.write_all(head.as_bytes()).await.expect("written");
