platform: bound the time until the store begins to answer, not that of a long answer

A VM with a slow link whose state was seconds old would have asked for the same megabyte again and again, each time for 0.3 s, and would have kept its old plan. Cause: one time limit for the store's answer and for its way over the link.

--- a/crates/entry/src/connections.rs
+++ b/crates/entry/src/connections.rs
@@ -14,9 +14,12 @@
 };
 
 use bytes::Bytes;
-use http::{HeaderMap, Request, StatusCode, header};
+use http::{HeaderMap, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full};
-use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{
+    body::Incoming,
+    client::conn::http1::{self, SendRequest},
+};
 use hyper_util::rt::TokioIo;
 use model::{MonoTime, StepError};
 use socket2::SockRef;
@@ -52,6 +55,13 @@
     pub head_at: MonoTime,
 }
 
+/// An answer whose head has arrived.
+#[derive(Debug)]
+pub struct BegunAnswer {
+    response: Response<Incoming>,
+    head_at: MonoTime,
+}
+
 /// Why an exchange brought no answer.
 #[derive(Debug, Clone)]
 pub enum ExchangeError {
@@ -206,33 +216,57 @@
         request: Request<Full<Bytes>>,
         now: impl Fn() -> MonoTime,
     ) -> Result<HttpAnswer, ExchangeError> {
-        let peer = self.peer;
+        let begun = self.begin_exchange(request, &now).await?;
+        self.read_body(begun, now).await
+    }
+
+    /// Sends one request and waits for the head of the answer.
+    ///
+    /// # Errors
+    /// Those of [`Self::exchange`].
+    pub async fn begin_exchange(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        now: impl Fn() -> MonoTime,
+    ) -> Result<BegunAnswer, ExchangeError> {
         self.meter.restart();
-        let meter = self.meter.clone();
-        let answer_error = |step, err: hyper::Error| match meter.is_exceeded() {
-            is_exceeded if is_exceeded || err.is_parse_too_large() => {
-                let cause = format!("answer is too long: {} bytes received", meter.n_read());
-                ExchangeError::TooLong(StepError::new(step, peer, cause))
-            }
-            _ => ExchangeError::Broken(StepError::new(step, peer, err)),
-        };
-        let response = match self.sender.try_send_request(request).await {
-            Ok(it) => it,
+        match self.sender.try_send_request(request).await {
+            Ok(response) => Ok(BegunAnswer { response, head_at: now() }),
             // `hyper` returns the request only if none of it was written.
             Err(err) if err.message().is_some() => {
-                let err = StepError::new("send", peer, err.into_error());
-                return Err(ExchangeError::NotConnected(err));
+                let err = StepError::new("send", self.peer, err.into_error());
+                Err(ExchangeError::NotConnected(err))
             }
-            Err(err) => return Err(answer_error("exchange", err.into_error())),
-        };
-        let head_at = now();
+            Err(err) => Err(self.answer_error("exchange", err.into_error())),
+        }
+    }
+
+    /// Reads the rest of an answer of this connection.
+    ///
+    /// # Errors
+    /// Those of [`Self::exchange`], but for `NotConnected`.
+    pub async fn read_body(
+        &mut self,
+        begun: BegunAnswer,
+        now: impl Fn() -> MonoTime,
+    ) -> Result<HttpAnswer, ExchangeError> {
+        let BegunAnswer { response, head_at } = begun;
         let (head, body) = response.into_parts();
-        let body = body.collect().await.map_err(|err| answer_error("read-answer", err))?.to_bytes();
+        let body = body.collect().await.map_err(|err| self.answer_error("read-answer", err))?;
         let answered_at = now();
         self.answered_at = Some(answered_at);
         self.usable_until = Some(answered_at + keep_alive_time(&head.headers));
+        let body = body.to_bytes();
         Ok(HttpAnswer { status: head.status, headers: head.headers, body, head_at })
     }
+
+    fn answer_error(&self, step: &'static str, err: hyper::Error) -> ExchangeError {
+        if !self.meter.is_exceeded() && !err.is_parse_too_large() {
+            return ExchangeError::Broken(StepError::new(step, self.peer, err));
+        }
+        let cause = format!("answer is too long: {} bytes received", self.meter.n_read());
+        ExchangeError::TooLong(StepError::new(step, self.peer, cause))
+    }
 }
 
 /// How long a connection may be idle and still be reused after an answer with these headers.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -33,7 +33,7 @@
 pub use change_relay::{RelayBatch, RelayLog, RelayReply, RelayRequest, RelayedChanges};
 pub use change_timing::ChangeTiming;
 pub use connections::{
-    ConnectionNumber, ConnectionPool, ExchangeError, HttpAnswer, HttpConnection,
+    BegunAnswer, ConnectionNumber, ConnectionPool, ExchangeError, HttpAnswer, HttpConnection,
 };
 pub use datagrams::{
     AckedRange, OversizedDatagram, PeerDatagram, RouterLoad, ShardUpdate, decode_datagram,
--- a/crates/entry/src/ports.rs
+++ b/crates/entry/src/ports.rs
@@ -165,7 +165,8 @@
     pub removals: Vec<String>,
 }
 
-/// Replicated store with revisions, a change stream and leases.
+/// Replicated store with revisions, a change stream and leases. Timeouts are those until a call begins
+/// to be answered; a long answer may take longer.
 pub trait StateStore: Clone + Send + Sync + 'static {
     /// Reads the complete state.
     fn read_all(
