entry: call a store that does not answer once, not twice, each time

What callers saw: nothing; the calls of an outage are paid for. Found when adding up the calls of the bound on the state's age. Cause: a call without an answer is repeated at once on a new connection, for the case that the connection had gone silent; in an outage that doubled the calls of each VM. Change: only the first call without an answer is repeated.

--- a/crates/entry/src/state_sync.rs
+++ b/crates/entry/src/state_sync.rs
@@ -98,6 +98,8 @@
     log: Logger,
     /// Whether the selected source is the store.
     is_watching: Cell<bool>,
+    /// Whether the last call to the store got no answer, on a new connection either.
+    is_store_silent: Cell<bool>,
     /// Whether the next read must be a complete one although no change is known to be missing.
     is_complete_read_due: Cell<bool>,
     /// Until when a failing relay may not have started yet.
@@ -118,6 +120,7 @@
             metrics: self.metrics,
             log: self.log,
             is_watching: Cell::new(true),
+            is_store_silent: Cell::new(false),
             is_complete_read_due: Cell::new(false),
             relay_due_at: self.clock.now() + RELAY_START_TIME,
         };
@@ -149,7 +152,7 @@
             }
             let res = match &source {
                 // The store may still refuse this VM, which leaves a relay that works for it.
-                ChangeSource::Store if is_new => self.read_changes(Duration::ZERO).await,
+                ChangeSource::Store if is_new => self.ask_store(Duration::ZERO).await,
                 ChangeSource::Store => self.watch_store().await,
                 ChangeSource::Relay(_, address) => {
                     let client = self.peers.client(*address, "changes");
@@ -202,11 +205,7 @@
                 sleep(catch_up_age.saturating_sub(age).max(retry_delay)).await;
                 continue;
             }
-            let res = match self.read_changes(Duration::ZERO).await {
-                // The store may answer on a new connection.
-                Err(StoreError::Unknown(_)) => self.read_changes(Duration::ZERO).await,
-                res => res,
-            };
+            let res = self.ask_store(Duration::ZERO).await;
             let now = self.clock.now();
             let source = ChangeSource::Store;
             match res {
@@ -267,11 +266,23 @@
     /// Watches the store until the state is as old as it may become, or reads it completely.
     async fn watch_store(&self) -> Result<SourceBatch, StoreError> {
         let age = self.state_age(self.clock.now());
-        match self.read_changes(self.timing.watch_cycle.saturating_sub(age)).await {
-            // The store may answer on a new connection.
-            Err(StoreError::Unknown(_)) => self.read_changes(Duration::ZERO).await,
+        self.ask_store(self.timing.watch_cycle.saturating_sub(age)).await
+    }
+
+    /// Reads changes. If the store does not answer for the first time, its connection may have gone
+    /// silent, and a second call opens another.
+    ///
+    /// Load pattern: in an outage of the store, each VM goes on asking it; a second call each time
+    /// would double the number of calls.
+    async fn ask_store(&self, wait: Duration) -> Result<SourceBatch, StoreError> {
+        let res = match self.read_changes(wait).await {
+            Err(StoreError::Unknown(_)) if !self.is_store_silent.get() => {
+                self.read_changes(Duration::ZERO).await
+            }
             res => res,
-        }
+        };
+        self.is_store_silent.set(matches!(res, Err(StoreError::Unknown(_))));
+        res
     }
 
     /// Reads the changes since the state's revision, waiting up to `wait` for one, or the complete
--- a/crates/entry/tests/it/change_delay.rs
+++ b/crates/entry/tests/it/change_delay.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use entry::ChangeTiming;
-use tokio::task::LocalSet;
+use tokio::{task::LocalSet, time::sleep};
 
 use crate::fleet::{CHANGE_DEADLINE, Fleet, StoreFault, later_than};
 
@@ -130,3 +130,23 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+/// Load pattern: the store does not answer for seconds, and every VM goes on asking it.
+#[tokio::test]
+async fn a_silent_store_is_called_by_each_vm_no_more_than_once_in_two_seconds() {
+    let test = async {
+        let fleet = Fleet::start(&["a", "b"], 10).await;
+        fleet.measure_delays(Duration::from_secs(1)).await;
+        ["a", "b"].into_iter().for_each(|it| set_domain_fault(&fleet, it, StoreFault::Silent));
+        // By then each VM has found that the store does not answer.
+        sleep(Duration::from_secs(3)).await;
+        let before = fleet.store.n_calls();
+        sleep(Duration::from_secs(6)).await;
+        let n_calls = fleet.store.n_calls() - before;
+        let n_watchers = 2;
+        let n_others = fleet.vms.len() as u64 - n_watchers;
+        // A watcher may call it each second.
+        assert!(n_calls <= n_others * 3 + n_watchers * 6, "{n_calls}");
+    };
+    LocalSet::new().run_until(test).await;
+}
