--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -73,7 +73,8 @@
     let relay_log = RelayLog::new(incarnation, clock);
     let channel = SnapshotChannel::with_relay(relay_log.clone());
     info!(log, "started"; "vm" => %settings.vm, "domain" => %settings.domain,
-        "incarnation" => incarnation, "store" => %settings.store, "callers" => %settings.callers);
+        "incarnation" => incarnation, "store" => %settings.store, "callers" => %settings.callers,
+        "max_change_delay_ms" => settings.change_timing.max_delay().as_millis() as u64);
     let server_reports = ReportCache::default();
     let metrics = EntryMetrics::default();
     let (stop_sender, stop) = watch::channel(false);
