entry: derive the watch's own limits from the deadline too

Cause: the interval between calls to the store and the time for its answer were constants of their own (450 and 600 ms), right for 2 s only: with a deadline of 1 s a state would have become older between two calls than its relays' limit. Change: both are fractions of the deadline; max_delay covers a watch whose connection goes silent. At 2 s nothing changes. Evidence: the_longest_delay_of_a_change_is_shorter_than_its_deadline covers them for deadlines of 1 to 10 s.

--- a/crates/entry/src/change_timing.rs
+++ b/crates/entry/src/change_timing.rs
@@ -11,8 +11,12 @@
 /// Time limits of the change stream of one VM.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ChangeTiming {
+    /// Minimum time between calls to the store.
+    pub call_interval: Duration,
     /// Longest age of the state of a VM whose watches of the store are answered.
     pub watch_cycle: Duration,
+    /// Time allowed for the store's answer to a watch, besides the wait itself.
+    pub answer_timeout: Duration,
     /// Age of a relay's state beyond which the VMs that may have to relay in its place leave it.
     pub relay_limit: Duration,
     /// Age of a relay's state beyond which all other VMs leave it.
@@ -37,7 +41,9 @@
     pub fn for_deadline(deadline: Duration) -> Self {
         let deadline = deadline.max(MIN_DEADLINE);
         Self {
+            call_interval: deadline.mul_f64(0.225),
             watch_cycle: deadline.mul_f64(0.325),
+            answer_timeout: deadline.mul_f64(0.3),
             relay_limit: deadline.mul_f64(0.425),
             follower_limit: deadline.mul_f64(0.525),
             catch_up_age: deadline.mul_f64(0.65),
@@ -52,6 +58,7 @@
     /// Longest time until a VM that reaches the store knows of a change, if one call to the store gets
     /// no answer because its connection has gone silent.
     pub fn max_delay(&self) -> Duration {
-        self.catch_up_age + self.catch_up_timeout + self.retry_delay * 2
+        let watching = self.watch_cycle + self.answer_timeout;
+        self.catch_up_age.max(watching) + self.catch_up_timeout + self.retry_delay * 2
     }
 }
--- a/crates/entry/src/state_sync.rs
+++ b/crates/entry/src/state_sync.rs
@@ -21,14 +21,11 @@
     state_cache::{StateCache, VM_PREFIX},
 };
 
-/// Time allowed for the store's answer to a watch, besides the wait itself.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
-
-/// Time allowed for each page of a complete read.
+/// Time allowed for the store to begin with each page of a complete read.
 const PAGE_TIMEOUT: Duration = Duration::from_millis(1_200);
 
-/// Minimum time between calls to the store.
-const CALL_INTERVAL: Duration = Duration::from_millis(450);
+/// Time allowed for the records of the VMs.
+const RECORDS_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Minimum time between calls to a relay; short, because a relay sends only relevant changes.
 const RELAY_INTERVAL: Duration = Duration::from_millis(30);
@@ -167,7 +164,7 @@
                     }
                     let interval = match source {
                         _ if answer.batch.needs_another_read() => Duration::ZERO,
-                        ChangeSource::Store => CALL_INTERVAL,
+                        ChangeSource::Store => self.timing.call_interval,
                         ChangeSource::Relay(..) => RELAY_INTERVAL,
                     };
                     self.note_call(&source, &answer, now.since(called_at));
@@ -226,7 +223,7 @@
     async fn read_vms(&self) {
         let give_up_at = self.clock.now() + ANNOUNCEMENT_TIME;
         loop {
-            let res = self.store.read_records(VM_PREFIX, ANSWER_TIMEOUT).await;
+            let res = self.store.read_records(VM_PREFIX, RECORDS_TIMEOUT).await;
             let now = self.clock.now();
             match res {
                 // The records alone are no state that another source could be compared with.
@@ -300,7 +297,7 @@
         }
         let timeout = match wait {
             Duration::ZERO => self.timing.catch_up_timeout,
-            wait => wait + ANSWER_TIMEOUT,
+            wait => wait + self.timing.answer_timeout,
         };
         let batch = self.store.watch(revision, wait, timeout).await?;
         self.channel.set_relay_path(Vec::new());
--- a/crates/entry/tests/it/change_delay.rs
+++ b/crates/entry/tests/it/change_delay.rs
@@ -29,6 +29,7 @@
         let timing = ChangeTiming::for_deadline(deadline);
         let limits = [
             Duration::ZERO,
+            timing.call_interval,
             timing.watch_cycle,
             timing.relay_limit,
             timing.follower_limit,
