entry: name the relay itself in the path of a VM's changes

Plans 1.25 s late in a domain whose first VM the store refuses: it followed the second, and the second followed it, until both states were too old, again and again. Cause: the path by which a VM recognizes that a relay follows it listed the VMs behind the relay, not the relay.

--- a/crates/entry/src/state_sync.rs
+++ b/crates/entry/src/state_sync.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use model::{MonoTime, StepError};
+use model::{MonoTime, StepError, VmName};
 use peer::{ByteCounter, PeerClient, PeerPool};
 use settings::ProcessClock;
 use slog::{Logger, info, warn};
@@ -151,9 +151,9 @@
                 // The store may still refuse this VM, which leaves a relay that works for it.
                 ChangeSource::Store if is_new => self.ask_store(Duration::ZERO).await,
                 ChangeSource::Store => self.watch_store().await,
-                ChangeSource::Relay(_, address) => {
+                ChangeSource::Relay(vm, address) => {
                     let client = self.peers.client(*address, "changes");
-                    self.call_relay(&client, &mut position).await
+                    self.call_relay(vm, &client, &mut position).await
                 }
             };
             let now = self.clock.now();
@@ -312,6 +312,7 @@
     /// Calls a relay for the changes since the state's revision, or for the complete state.
     async fn call_relay(
         &self,
+        relay: &VmName,
         client: &PeerClient,
         position: &mut RelayPosition,
     ) -> Result<SourceBatch, StoreError> {
@@ -348,7 +349,7 @@
             return Err(refused("it follows this VM"));
         }
         *position = RelayPosition { incarnation: reply.incarnation, last: reply.last };
-        self.channel.set_relay_path(reply.path);
+        self.channel.set_relay_path([relay.clone()].into_iter().chain(reply.path).collect());
         let known = self.revision();
         let (events, scope, is_complete) = match reply.changes {
             RelayedChanges::Complete(_) if reply.revision < known => {
--- a/crates/entry/tests/it/change_delay.rs
+++ b/crates/entry/tests/it/change_delay.rs
@@ -151,3 +151,23 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+/// Guards against two VMs that follow each other, so that neither learns of a change until their states
+/// are too old: the store refuses the first relay of a domain, which follows the second, which follows
+/// the first.
+#[tokio::test]
+async fn no_vm_follows_a_relay_that_follows_it() {
+    let test = async {
+        let fleet = Fleet::start(&["a"], 2).await;
+        fleet.measure_delays(Duration::from_secs(1)).await;
+        fleet.store.set_fault(&fleet.vm("a-1").name, Some(StoreFault::Refused));
+        // By then the second has found that the first has no source of its own.
+        fleet.measure_delays(Duration::from_secs(3)).await;
+        let delays = fleet.measure_delays(Duration::from_secs(5)).await;
+        let timing = ChangeTiming::for_deadline(CHANGE_DEADLINE);
+        // A VM that watches the store is at most this late, and its followers one call more.
+        let bound = timing.watch_cycle + timing.relay_wait;
+        assert_eq!(later_than(&delays, bound), Default::default());
+    };
+    LocalSet::new().run_until(test).await;
+}
