entry: let a VM without a state read the store although its relays are listed

A VM that started while the relays of its domain were lost but still listed (9 s) had no plan and refused everything. Cause: a VM that is no relay asks the store itself only when its state is too old; one that has none was left out. Evidence: a_vm_that_starts_while_its_relays_are_lost_reads_the_store failed before.

--- a/crates/entry/src/state_sync.rs
+++ b/crates/entry/src/state_sync.rs
@@ -41,6 +41,10 @@
 /// complete state from the store: a relay that started at the same moment has to read it first.
 const RELAY_START_TIME: Duration = Duration::from_millis(1_500);
 
+/// Time after the start of the process at which it reads the store itself if it has no state yet. All
+/// VMs of a domain that start at once have it from their relay by then.
+const MAX_STATELESS_TIME: Duration = Duration::from_millis(2_000);
+
 /// Longest wait for this VM's own presence record before the complete state is read.
 const ANNOUNCEMENT_TIME: Duration = Duration::from_millis(300);
 
@@ -101,6 +105,8 @@
     is_complete_read_due: Cell<bool>,
     /// Until when a failing relay may not have started yet.
     relay_due_at: MonoTime,
+    /// When the store is read if there is no state yet.
+    state_due_at: MonoTime,
 }
 
 impl<S: StateStore> ChangeFollower<S> {
@@ -120,6 +126,7 @@
             is_store_silent: Cell::new(false),
             is_complete_read_due: Cell::new(false),
             relay_due_at: self.clock.now() + RELAY_START_TIME,
+            state_due_at: self.clock.now() + MAX_STATELESS_TIME,
         };
         tasks.read_vms().await;
         tokio::join!(tasks.follow_source(), tasks.catch_up_when_stale());
@@ -197,8 +204,12 @@
         loop {
             let now = self.clock.now();
             let age = self.state_age(now);
-            let is_needed = age >= catch_up_age && self.revision() > 0 && !self.is_watching.get();
-            if !is_needed || !self.selector.borrow().is_store_usable(now) {
+            let is_stale = match self.revision() {
+                0 => now >= self.state_due_at,
+                _ => age >= catch_up_age,
+            };
+            let may_ask = !self.is_watching.get() && self.selector.borrow().is_store_usable(now);
+            if !is_stale || !may_ask {
                 sleep(catch_up_age.saturating_sub(age).max(retry_delay)).await;
                 continue;
             }
--- a/crates/entry/tests/it/change_delay.rs
+++ b/crates/entry/tests/it/change_delay.rs
@@ -1,6 +1,6 @@
 //! How late a VM learns of a change whose sources fail, and which fail one after the other.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use entry::ChangeTiming;
 use tokio::{task::LocalSet, time::sleep};
@@ -171,3 +171,21 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+/// Guards against a VM that starts and gets no plan, although it reaches the store: the relays of its
+/// domain are listed but do not answer.
+#[tokio::test]
+async fn a_vm_that_starts_while_its_relays_are_lost_reads_the_store() {
+    let test = async {
+        let mut fleet = Fleet::start(&["a"], 5).await;
+        ["a-1", "a-2", "a-3"].iter().for_each(|it| fleet.vm(it).set_frozen(true));
+        fleet.restart("a-5");
+        let started = Instant::now();
+        while fleet.vm("a-5").plan_version() == 0 {
+            // By then the VM counts as one that reaches the store.
+            assert!(started.elapsed() < Duration::from_secs(3), "no plan");
+            sleep(Duration::from_millis(10)).await;
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
