platform: end a watch whose answer stalls as soon as one that does not begin

Callers would see: a change late by more than its deadline on a VM whose connection to the store goes silent between the head and the body of an answer.

A slow link still gets the whole time for a long answer, as its parts follow one another; the longest pause between two of them is what the caller of a watch allows for the answer besides its wait. Complete reads keep 2.5 s: many VMs that read at once share the store's link, and giving up would only repeat them.

--- a/crates/entry/src/connections.rs
+++ b/crates/entry/src/connections.rs
@@ -13,8 +13,8 @@
     time::Duration,
 };
 
-use bytes::Bytes;
-use http::{HeaderMap, Request, Response, StatusCode, header};
+use bytes::{Bytes, BytesMut};
+use http::{HeaderMap, Request, Response, StatusCode, header, response};
 use http_body_util::{BodyExt, Full};
 use hyper::{
     body::Incoming,
@@ -73,6 +73,8 @@
     Broken(StepError),
     /// The peer sent more bytes than an answer may have; the request may have run.
     TooLong(StepError),
+    /// The answer began, but its rest did not arrive; the request may have run.
+    Stalled(StepError),
 }
 
 impl ExchangeError {
@@ -82,7 +84,8 @@
             Self::Refused(err)
             | Self::NotConnected(err)
             | Self::Broken(err)
-            | Self::TooLong(err) => err,
+            | Self::TooLong(err)
+            | Self::Stalled(err) => err,
         }
     }
 }
@@ -216,8 +219,10 @@
         request: Request<Full<Bytes>>,
         now: impl Fn() -> MonoTime,
     ) -> Result<HttpAnswer, ExchangeError> {
-        let begun = self.begin_exchange(request, &now).await?;
-        self.read_body(begun, now).await
+        let BegunAnswer { response, head_at } = self.begin_exchange(request, &now).await?;
+        let (head, body) = response.into_parts();
+        let body = body.collect().await.map_err(|err| self.answer_error("read-answer", err))?;
+        Ok(self.complete_answer(head, body.to_bytes(), head_at, now()))
     }
 
     /// Sends one request and waits for the head of the answer.
@@ -241,23 +246,49 @@
         }
     }
 
-    /// Reads the rest of an answer of this connection.
+    /// Reads the rest of an answer of this connection, which may take `max_stall` between two parts.
     ///
     /// # Errors
-    /// Those of [`Self::exchange`], but for `NotConnected`.
-    pub async fn read_body(
+    /// Those of [`Self::exchange`], but for `NotConnected`; `Stalled` if the next part does not arrive
+    /// in time.
+    pub async fn read_rest(
         &mut self,
         begun: BegunAnswer,
+        max_stall: Duration,
         now: impl Fn() -> MonoTime,
     ) -> Result<HttpAnswer, ExchangeError> {
         let BegunAnswer { response, head_at } = begun;
-        let (head, body) = response.into_parts();
-        let body = body.collect().await.map_err(|err| self.answer_error("read-answer", err))?;
-        let answered_at = now();
-        self.answered_at = Some(answered_at);
-        self.usable_until = Some(answered_at + keep_alive_time(&head.headers));
-        let body = body.to_bytes();
-        Ok(HttpAnswer { status: head.status, headers: head.headers, body, head_at })
+        let (head, mut body) = response.into_parts();
+        let mut received = BytesMut::new();
+        loop {
+            match timeout(max_stall, body.frame()).await {
+                Ok(Some(Ok(frame))) => received.extend(frame.into_data().ok()),
+                Ok(Some(Err(err))) => return Err(self.answer_error("read-answer", err)),
+                Ok(None) => break,
+                Err(_) => {
+                    let cause = format!("stalled after {} bytes", received.len());
+                    return Err(ExchangeError::Stalled(StepError::new(
+                        "read-answer",
+                        self.peer,
+                        cause,
+                    )));
+                }
+            }
+        }
+        Ok(self.complete_answer(head, received.freeze(), head_at, now()))
+    }
+
+    /// Notes until when the connection may be reused after an answer.
+    fn complete_answer(
+        &mut self,
+        head: response::Parts,
+        body: Bytes,
+        head_at: MonoTime,
+        now: MonoTime,
+    ) -> HttpAnswer {
+        self.answered_at = Some(now);
+        self.usable_until = Some(now + keep_alive_time(&head.headers));
+        HttpAnswer { status: head.status, headers: head.headers, body, head_at }
     }
 
     fn answer_error(&self, step: &'static str, err: hyper::Error) -> ExchangeError {
--- a/crates/entry/src/orders.rs
+++ b/crates/entry/src/orders.rs
@@ -37,7 +37,9 @@
 impl From<ExchangeError> for OrderOutcome {
     fn from(err: ExchangeError) -> Self {
         match err {
-            ExchangeError::Broken(err) | ExchangeError::TooLong(err) => Self::Silent(err),
+            ExchangeError::Broken(err)
+            | ExchangeError::TooLong(err)
+            | ExchangeError::Stalled(err) => Self::Silent(err),
             ExchangeError::Refused(err) | ExchangeError::NotConnected(err) => Self::NotSent(err),
         }
     }
