entry: take the time of an evacuation from the operators' settings

Callers would see: on a deployment that allows less than 4 s for an evacuation, keyed requests that reach the evacuated domain after it. All deployments seen allow 5 s, so their behavior stays (0.8 of 5 s).

New setting evacuation, 5s if absent. Test: an_evacuated_domain_gets_no_keyed_requests_after_the_time_that_operators_allow, failed before.

--- a/crates/entry/src/settings_file.rs
+++ b/crates/entry/src/settings_file.rs
@@ -36,6 +36,9 @@
     /// Time within which a changed route plan must be in force.
     #[serde(default = "default_plan_deadline")]
     plan_deadline: String,
+    /// Time after which the servers of an evacuated failure domain get no more requests.
+    #[serde(default = "default_evacuation")]
+    evacuation: String,
     /// Largest answer of a server to a caller's request, in bytes.
     #[serde(default = "default_max_answer_bytes")]
     max_answer_bytes: usize,
@@ -58,6 +61,10 @@
     "2s".to_owned()
 }
 
+fn default_evacuation() -> String {
+    "5s".to_owned()
+}
+
 fn default_max_answer_bytes() -> usize {
     8 * 1024 * 1024
 }
@@ -99,6 +106,8 @@
     pub grace: Duration,
     /// Time for which a draining server still accepts new work.
     pub drain: Duration,
+    /// Time after which the servers of an evacuated failure domain get no more requests.
+    pub evacuation: Duration,
     /// Time limits of the change stream, by which plans are in force and draining servers known in
     /// time.
     pub change_timing: ChangeTiming,
@@ -169,6 +178,7 @@
             max_hold,
             grace: duration("grace", &raw.grace)?,
             drain,
+            evacuation: duration("evacuation", &raw.evacuation)?,
             change_timing: ChangeTiming::for_deadline(plan_deadline.min(drain)),
             answer_limits: AnswerLimits {
                 server: answer_bytes("max_answer_bytes", raw.max_answer_bytes)?,
--- a/crates/entry/src/traffic/choice.rs
+++ b/crates/entry/src/traffic/choice.rs
@@ -9,8 +9,9 @@
 /// Fraction of a server's connections that all routers together use.
 const CONNECTION_SHARE: f64 = 0.85;
 
-/// Time after the start of an evacuation for which owners of keys in that domain still get requests.
-const EVACUATION_GRACE: Duration = Duration::from_millis(4_000);
+/// Part of the time allowed for an evacuation in which owners of keys in that domain still get
+/// requests; the rest is for requests on their way.
+const EVACUATION_SHARE: f64 = 0.8;
 
 /// Spread of the random cost factor that makes routers with the same reports choose differently.
 const COST_JITTER: f64 = 0.3;
@@ -59,11 +60,13 @@
         let Some(server) = server.filter(|_| entry.is_settled()) else {
             return SendChoice::AwaitChange(NotRunReason::NoOwner);
         };
-        if !server.is_usable_owner(self.settings.load().drain, now) {
+        let settings = self.settings.load();
+        if !server.is_usable_owner(settings.drain, now) {
             return SendChoice::AwaitChange(NotRunReason::NoOwner);
         }
         let evacuated_since = snapshot.evacuated.get(&server.entry.domain);
-        if evacuated_since.is_some_and(|it| !it.is_within(EVACUATION_GRACE, now)) {
+        let usable = settings.evacuation.mul_f64(EVACUATION_SHARE);
+        if evacuated_since.is_some_and(|it| !it.is_within(usable, now)) {
             return SendChoice::AwaitChange(NotRunReason::NoOwner);
         }
         let mut state = self.state.borrow_mut();
