--- a/crates/entry/src/source_selector.rs
+++ b/crates/entry/src/source_selector.rs
@@ -7,6 +7,7 @@
 };
 
 use model::{DomainName, MonoTime, VmName};
+use smallvec::SmallVec;
 
 use crate::StateSnapshot;
 
@@ -89,7 +90,7 @@
     /// Whether this VM is one of its domain's relays, which watches the store once those before it
     /// have failed.
     pub fn is_relay(&self, snapshot: &StateSnapshot) -> bool {
-        snapshot.relays(&self.domain).iter().take(RELAYS_PER_DOMAIN).any(|it| **it == self.vm)
+        relays_of(snapshot, &self.domain).contains(&&self.vm)
     }
 
     /// Whether the store may be called, because the last call to it did not just fail.
@@ -104,13 +105,13 @@
     /// the store for the time of their backoff, it would get a watch from each of them.
     pub fn select(&mut self, snapshot: &StateSnapshot, now: MonoTime) -> Option<ChangeSource> {
         let is_known = self.is_listed(snapshot);
-        let own_relay = self.first_relay(snapshot, &self.domain, now).filter(|_| is_known);
-        let is_first = snapshot.relays(&self.domain).first() == Some(&&self.vm);
-        self.is_watcher = is_first || !is_known;
-        match own_relay {
-            Some(vm) if *vm != self.vm => self.source_at(snapshot, vm),
+        let relays = relays_of(snapshot, &self.domain);
+        self.is_watcher = !is_known || relays.first() == Some(&&self.vm);
+        let first_usable = relays.iter().find(|it| self.is_usable(it, now)).filter(|_| is_known);
+        match first_usable {
+            Some(vm) if **vm != self.vm => self.source_at(snapshot, vm),
             _ if self.is_store_usable(now) => {
-                let may_watch = !is_known || self.is_relay(snapshot);
+                let may_watch = !is_known || relays.contains(&&self.vm);
                 may_watch.then_some(ChangeSource::Store)
             }
             _ => self.other_relay(snapshot, now),
@@ -123,34 +124,15 @@
         let vms = snapshot.vms.values();
         let others: BTreeSet<&DomainName> =
             vms.map(|it| &it.domain).filter(|it| **it != self.domain).collect();
-        let mut domains = others.into_iter().chain([&self.domain]);
-        let vm = domains.find_map(|domain| {
-            let usable = self.usable_relays(snapshot, domain, now);
-            usable.into_iter().find(|it| **it != self.vm)
-        })?;
+        let domains = others.into_iter().chain([&self.domain]);
+        let mut relays = domains.flat_map(|it| relays_of(snapshot, it));
+        let vm = relays.find(|it| **it != self.vm && self.is_usable(it, now))?;
         self.source_at(snapshot, vm)
     }
 
-    /// The first relay of `domain` that this VM has not backed off from; may be this VM itself.
-    fn first_relay<'a>(
-        &self,
-        snapshot: &'a StateSnapshot,
-        domain: &DomainName,
-        now: MonoTime,
-    ) -> Option<&'a VmName> {
-        self.usable_relays(snapshot, domain, now).into_iter().next()
-    }
-
-    /// The relays of `domain` that this VM has not backed off from.
-    fn usable_relays<'a>(
-        &self,
-        snapshot: &'a StateSnapshot,
-        domain: &DomainName,
-        now: MonoTime,
-    ) -> Vec<&'a VmName> {
-        let is_usable = |it: &&VmName| self.retry_at.get(*it).is_none_or(|until| now >= *until);
-        let relays = snapshot.relays(domain).into_iter().take(RELAYS_PER_DOMAIN);
-        relays.filter(is_usable).collect()
+    /// Whether this VM has not backed off from a relay.
+    fn is_usable(&self, relay: &VmName, now: MonoTime) -> bool {
+        self.retry_at.get(relay).is_none_or(|until| now >= *until)
     }
 
     fn source_at(&self, snapshot: &StateSnapshot, vm: &VmName) -> Option<ChangeSource> {
@@ -174,3 +156,11 @@
         }
     }
 }
+
+/// The VMs that relay changes to a domain, the first first.
+fn relays_of<'a>(
+    snapshot: &'a StateSnapshot,
+    domain: &DomainName,
+) -> SmallVec<[&'a VmName; RELAYS_PER_DOMAIN]> {
+    snapshot.relays(domain).into_iter().take(RELAYS_PER_DOMAIN).collect()
+}
