policy: probe a server although its whole service seems too slow

Timeline from its logs: the entry is restarted while the link to its domain's server stalls; its first four requests are answered when the link recovers, 2.1 s later, beyond the route's 2 s; from then on it sends nothing.

Cause: the service's mean time starts at its first answer and changes only with answers.

Now a probe is due for a server that would be refused for its work time alone, whatever the mean: it is judged by half of the objective as its work time, so that a queue that is known to be long still refuses it. Requests that were not refused for that reason are judged as before.

Tests: a_server_is_probed_although_its_service_seems_too_slow, failed before, with one slot and with four; a_full_queue_is_refused_although_its_service_seems_too_slow holds before and after.

--- a/crates/policy/src/load_estimator.rs
+++ b/crates/policy/src/load_estimator.rs
@@ -28,6 +28,10 @@
 /// Time since the last call after which a server that seems too slow is tried again.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Work time that a probe of a server that seems too slow for any request is judged by, as a share of
+/// the latency objective.
+const PROBE_WORK_SHARE: f64 = 0.5;
+
 /// Maximum number of recent calls that are added to a report's count.
 const MAX_SENT_TIMES: usize = 16;
 
@@ -158,7 +162,7 @@
 
     /// Estimated number of requests of all routers that run or wait at the server.
     pub fn n_outstanding(&self, now: MonoTime) -> f64 {
-        let assumed = f64::from(self.slots) * ASSUMED_UTILIZATION;
+        let assumed = self.assumed_outstanding();
         let own = f64::from(self.n_open);
         match self.report {
             Some((report, at)) => {
@@ -172,12 +176,22 @@
         }
     }
 
+    /// Number of requests that are assumed to run at the server while there is no recent report.
+    fn assumed_outstanding(&self) -> f64 {
+        f64::from(self.slots) * ASSUMED_UTILIZATION
+    }
+
     /// Estimated seconds that a request sent now would wait for a slot; `typical_seconds` replaces
     /// the average work time while no call was answered.
     pub fn queue_seconds(&self, typical_seconds: f64, now: MonoTime) -> f64 {
+        let work_seconds = self.current_work_seconds(typical_seconds, now);
+        work_seconds * self.queued_rounds(self.n_outstanding(now))
+    }
+
+    /// Rounds of work that a request waits for if this many are already at the server.
+    fn queued_rounds(&self, n_outstanding: f64) -> f64 {
         let slots = f64::from(self.slots);
-        let queued = (self.n_outstanding(now) + 1.0 - slots).max(0.0);
-        self.current_work_seconds(typical_seconds, now) * queued / slots
+        (n_outstanding + 1.0 - slots).max(0.0) / slots
     }
 
     /// Estimated seconds of work for one request, at the slowdown of the server's last report unless
@@ -196,9 +210,9 @@
     /// Whether the queue is too long for a request with `objective` for its answer and `left` until
     /// its deadline; `typical_seconds` replaces the average work time while no call was answered.
     ///
-    /// A server whose work time seems to exceed the callers' timeouts is still probed from time to
-    /// time: only another call shows that it has become faster, or that this router itself was frozen
-    /// when it measured.
+    /// A server whose work time alone seems to exceed the callers' timeouts is still probed from time
+    /// to time, also if its whole service seems that slow: only another call shows that it has become
+    /// faster, or that this router or its links were slow when it measured.
     pub fn is_queue_too_long(
         &self,
         objective: Duration,
@@ -207,20 +221,27 @@
         now: MonoTime,
     ) -> bool {
         let is_probe_due = self.sent_at.is_none_or(|it| now.since(it) >= PROBE_INTERVAL);
-        let work_seconds = self.current_work_seconds(typical_seconds, now);
-        let work_seconds =
-            if is_probe_due { work_seconds.min(typical_seconds) } else { work_seconds };
-        self.queue_seconds(typical_seconds, now) > queue_bound(objective, left, work_seconds)
+        let current = self.current_work_seconds(typical_seconds, now);
+        let least = if is_probe_due { current.min(typical_seconds) } else { current };
+        let bound = queue_bound(objective, left, least);
+        let seems_too_slow = current * self.queued_rounds(self.assumed_outstanding()) > bound;
+        let queued_rounds = self.queued_rounds(self.n_outstanding(now));
+        match is_probe_due && seems_too_slow {
+            true => {
+                let probed = least.min(objective.as_secs_f64() * PROBE_WORK_SHARE);
+                probed * queued_rounds > queue_bound(objective, left, probed)
+            }
+            false => current * queued_rounds > bound,
+        }
     }
 
     /// Estimated seconds to the answer of a request sent now; `typical_seconds` replaces the average
     /// work time while no call was answered.
     pub fn expected_seconds(&self, typical_seconds: f64, now: MonoTime) -> f64 {
-        let slots = f64::from(self.slots);
         let outstanding = self.n_outstanding(now);
-        let queued = (outstanding + 1.0 - slots).max(0.0);
         // Servers slow down somewhat as their slots fill, so the less busy of two is preferred.
-        let crowding = 1.0 + 0.2 * (outstanding / slots).min(1.0);
-        self.current_work_seconds(typical_seconds, now) * (crowding + queued / slots)
+        let crowding = 1.0 + 0.2 * (outstanding / f64::from(self.slots)).min(1.0);
+        let rounds = crowding + self.queued_rounds(outstanding);
+        self.current_work_seconds(typical_seconds, now) * rounds
     }
 }
--- a/crates/policy/tests/it/load_estimator.rs
+++ b/crates/policy/tests/it/load_estimator.rs
@@ -85,6 +85,31 @@
     assert!(is_queue_too_long(&estimator, 7_010), "one probe is enough");
 }
 
+/// Guards against a router that never sends to a service again: the first answers were late (seed 2026
+/// of the soak test, a link that stalled), so that the service's mean time, too, exceeded the callers'
+/// timeouts.
+#[test]
+fn a_server_is_probed_although_its_service_seems_too_slow() {
+    let (objective, left) = (Duration::from_millis(500), Duration::from_secs(2));
+    for slots in [1, 4] {
+        let mut estimator = LoadEstimator::new(slots);
+        estimator.begin(at(0));
+        estimator.finish(CallEnd::Answered(Duration::from_millis(2_100)), at(2_100));
+        assert!(!estimator.is_queue_too_long(objective, left, 2.1, at(2_110)), "{slots} slots");
+        estimator.begin(at(2_110));
+        assert!(estimator.is_queue_too_long(objective, left, 2.1, at(2_120)), "one is enough");
+    }
+}
+
+/// Guards against probes that join a queue which is known to be too long.
+#[test]
+fn a_full_queue_is_refused_although_its_service_seems_too_slow() {
+    let mut estimator = LoadEstimator::new(4);
+    estimator.note_report(report(4, 16, 100), at(5_000));
+    let (objective, left) = (Duration::from_millis(400), Duration::from_secs(1));
+    assert!(estimator.is_queue_too_long(objective, left, 2.1, at(5_010)));
+}
+
 #[test]
 fn a_full_queue_is_refused_even_when_a_probe_is_due() {
     let mut estimator = LoadEstimator::new(4);
