--- a/crates/entry/src/source_selector.rs
+++ b/crates/entry/src/source_selector.rs
@@ -157,7 +157,7 @@
     }
 }
 
-/// The VMs that relay changes to a domain, the first first.
+/// The VMs that relay changes to a domain, in the order in which the others are to use them.
 fn relays_of<'a>(
     snapshot: &'a StateSnapshot,
     domain: &DomainName,
--- a/crates/policy/src/load_estimator.rs
+++ b/crates/policy/src/load_estimator.rs
@@ -221,18 +221,18 @@
         now: MonoTime,
     ) -> bool {
         let is_probe_due = self.sent_at.is_none_or(|it| now.since(it) >= PROBE_INTERVAL);
-        let current = self.current_work_seconds(typical_seconds, now);
-        let least = if is_probe_due { current.min(typical_seconds) } else { current };
-        let bound = queue_bound(objective, left, least);
-        let seems_too_slow = current * self.queued_rounds(self.assumed_outstanding()) > bound;
+        let work_seconds = self.current_work_seconds(typical_seconds, now);
+        let least_seconds =
+            if is_probe_due { work_seconds.min(typical_seconds) } else { work_seconds };
+        let bound = queue_bound(objective, left, least_seconds);
+        // Whether a server of whose queue nothing is known would be refused for its work time alone.
+        let seems_too_slow = work_seconds * self.queued_rounds(self.assumed_outstanding()) > bound;
         let queued_rounds = self.queued_rounds(self.n_outstanding(now));
-        match is_probe_due && seems_too_slow {
-            true => {
-                let probed = least.min(objective.as_secs_f64() * PROBE_WORK_SHARE);
-                probed * queued_rounds > queue_bound(objective, left, probed)
-            }
-            false => current * queued_rounds > bound,
+        if is_probe_due && seems_too_slow {
+            let probe_seconds = least_seconds.min(objective.as_secs_f64() * PROBE_WORK_SHARE);
+            return probe_seconds * queued_rounds > queue_bound(objective, left, probe_seconds);
         }
+        work_seconds * queued_rounds > bound
     }
 
     /// Estimated seconds to the answer of a request sent now; `typical_seconds` replaces the average
