entry: log and count what servers ask of their callers in answers

Change: the platform's adapter decodes Server-Limit, Server-Leaving and the Retry-After of a 503 into one type; the entry keeps them for each instance of a server, logs each change as backpressure-changed and counts changes and the requests that are still sent to such a server (jackdaw_backpressure_changes_total, jackdaw_backpressure_sends_total). No decision uses them yet. Answers of 421 count only if the server is named in them, as another server may have taken over the address.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -6,6 +6,7 @@
 //! the interfaces to the platform.
 
 mod assigner;
+mod backpressure;
 mod change_relay;
 mod change_timing;
 mod connections;
@@ -30,6 +31,7 @@
 mod traffic;
 
 pub use assigner::{AssignerParts, KeyAssigner, KeyedLoads, SharedLoads};
+pub use backpressure::BackpressureCache;
 pub use change_relay::{RelayBatch, RelayLog, RelayReply, RelayRequest, RelayedChanges};
 pub use change_timing::ChangeTiming;
 pub use connections::{
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -16,6 +16,11 @@
     pub outcomes: IntCounterVec,
     /// Attempts at servers that brought no usable answer, by how they ended.
     pub failed_sends: IntCounterVec,
+    /// Answers of servers that changed what the server asks of its callers, by signal (`limit`,
+    /// `leaving` or `pause`).
+    pub backpressure_changes: IntCounterVec,
+    /// Requests to servers that ask for less, by signal: those sent, and those held back.
+    pub backpressure_sends: IntCounterVec,
     /// Seconds from a request's arrival to its final answer.
     pub latency: Histogram,
     /// Calls for changes of the state, by source (`store` or `relay`) and end (`changes`, `complete`,
@@ -43,6 +48,14 @@
             "jackdaw_sends_failed_total",
             "Attempts at servers that brought no usable answer, by how they ended.",
         );
+        let backpressure_changes = Opts::new(
+            "jackdaw_backpressure_changes_total",
+            "Answers that changed what a server asks of its callers, by signal.",
+        );
+        let backpressure_sends = Opts::new(
+            "jackdaw_backpressure_sends_total",
+            "Requests sent to or held back from servers that ask for less, by signal and decision.",
+        );
         let latency = HistogramOpts::new(
             "jackdaw_request_seconds",
             "Seconds from a request's arrival to its final answer.",
@@ -59,6 +72,10 @@
         let metrics = Self {
             outcomes: IntCounterVec::new(outcomes, &["route", "outcome"]).expect("valid metric"),
             failed_sends: IntCounterVec::new(failed_sends, &["end"]).expect("valid metric"),
+            backpressure_changes: IntCounterVec::new(backpressure_changes, &["signal"])
+                .expect("valid metric"),
+            backpressure_sends: IntCounterVec::new(backpressure_sends, &["signal", "decision"])
+                .expect("valid metric"),
             latency: Histogram::with_opts(latency).expect("valid metric"),
             change_calls: IntCounterVec::new(change_calls, &["source", "end"])
                 .expect("valid metric"),
@@ -66,9 +83,11 @@
             state_age: Gauge::with_opts(state_age).expect("valid metric"),
             registry,
         };
-        let collectors: [Box<dyn prometheus::core::Collector>; 6] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 8] = [
             Box::new(metrics.outcomes.clone()),
             Box::new(metrics.failed_sends.clone()),
+            Box::new(metrics.backpressure_changes.clone()),
+            Box::new(metrics.backpressure_sends.clone()),
             Box::new(metrics.latency.clone()),
             Box::new(metrics.change_calls.clone()),
             Box::new(metrics.plan_version.clone()),
--- a/crates/entry/src/ports.rs
+++ b/crates/entry/src/ports.rs
@@ -3,10 +3,10 @@
 use std::{fmt, future::Future, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderName};
+use http::{HeaderMap, HeaderName, StatusCode};
 use model::{DomainName, ServerName, ServiceName, StepError};
 use ownership::KeyRange;
-use policy::LoadReport;
+use policy::{BackpressureSignal, LoadReport};
 use serde::{Deserialize, Serialize};
 
 use crate::{RoutePlan, datagrams::ShardUpdate};
@@ -237,6 +237,10 @@
     pub key: HeaderName,
     /// Load report of the server.
     pub load: HeaderName,
+    /// Requests a second that the server takes from all callers together.
+    pub max_rate: HeaderName,
+    /// Present if the server is leaving.
+    pub leaving: HeaderName,
     /// Milliseconds until the server has warmed up.
     pub cold_left: HeaderName,
     /// Hand-over data of a release, which is passed on to the next holder.
@@ -262,4 +266,7 @@
 
     /// Decodes the load report of an answer; `None` if it has none.
     fn load(&self, headers: &HeaderMap) -> Option<LoadReport>;
+
+    /// Decodes what an answer asks of the server's callers.
+    fn backpressure(&self, status: StatusCode, headers: &HeaderMap) -> BackpressureSignal;
 }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -16,8 +16,9 @@
 };
 
 use crate::{
-    AssignerParts, EntryMetrics, EntrySettings, KeyAssigner, RelayLog, ReportCache, ServerFormat,
-    SnapshotChannel, SourceSelector, StateStore, TrafficParts, TrafficServer, VmPresence,
+    AssignerParts, BackpressureCache, EntryMetrics, EntrySettings, KeyAssigner, RelayLog,
+    ReportCache, ServerFormat, SnapshotChannel, SourceSelector, StateStore, TrafficParts,
+    TrafficServer, VmPresence,
     assigner::{KeyedLoads, SharedLoads},
     datagram_tasks::{receive_datagrams, send_router_loads, send_server_reports},
     http_server::{ShutdownPhase, serve_callers, serve_texts},
@@ -105,6 +106,7 @@
         clock,
         metrics: metrics.clone(),
         server_reports,
+        backpressure: BackpressureCache::default(),
         seed: incarnation,
         log: log.clone(),
     }));
--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -23,7 +23,10 @@
     DomainName, Idempotency, MonoTime, NotRunReason, ServerName, ServiceName, StepError,
     UnknownReason,
 };
-use policy::{CallEnd, LoadEstimator, RetryBudget, SilenceDetector, choose_cheapest, retry_delay};
+use policy::{
+    BackpressureSignal, CallEnd, LoadEstimator, RetryBudget, SilenceDetector, choose_cheapest,
+    retry_delay,
+};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use settings::ProcessClock;
 use slog::{Logger, info};
@@ -31,9 +34,9 @@
 use tokio::time::timeout;
 
 use crate::{
-    CachedServer, ConnectionNumber, ConnectionPool, EntryMetrics, EntrySettings, ExchangeError,
-    HttpAnswer, HttpConnection, PlanRoute, ReportCache, ServerFormat, SnapshotChannel,
-    StateSnapshot,
+    BackpressureCache, CachedServer, ConnectionNumber, ConnectionPool, EntryMetrics, EntrySettings,
+    ExchangeError, HttpAnswer, HttpConnection, PlanRoute, ReportCache, ServerFormat,
+    SnapshotChannel, StateSnapshot,
     datagrams::RouterLoad,
     stats::{INITIAL_SECONDS, ServerStats, ServiceStats},
 };
@@ -122,6 +125,8 @@
     pub metrics: EntryMetrics,
     /// Load reports of servers, shared with the other threads of the process.
     pub server_reports: ReportCache,
+    /// What servers ask of their callers, shared with the other threads of the process.
+    pub backpressure: BackpressureCache,
     /// Seed of the random choices.
     pub seed: u64,
     /// Log for failed requests and attempts.
@@ -136,6 +141,7 @@
     clock: ProcessClock,
     metrics: EntryMetrics,
     server_reports: ReportCache,
+    backpressure: BackpressureCache,
     state: RefCell<TrafficState>,
     log: Logger,
 }
@@ -159,6 +165,7 @@
             clock: parts.clock,
             metrics: parts.metrics,
             server_reports: parts.server_reports,
+            backpressure: parts.backpressure,
             state: RefCell::new(state),
             log: parts.log,
         }
--- a/crates/entry/src/traffic/exchange.rs
+++ b/crates/entry/src/traffic/exchange.rs
@@ -43,6 +43,7 @@
         now: MonoTime,
     ) -> SendOutcome {
         let name = &server.entry.name;
+        self.count_backpressure_send(server, now);
         {
             let mut state = self.state.borrow_mut();
             let stats = current_stats(&mut state.server_stats, server);
@@ -172,6 +173,7 @@
             stats.estimator.note_report(report, now);
             self.server_reports.record_local(name, report, now);
         }
+        self.note_backpressure(server, &answer, now);
         self.state.borrow_mut().pool.put(connection, now);
         let is_not_run = answer.headers.contains_key(&names.not_run);
         let has_signature = answer.headers.contains_key(&names.signature);
@@ -208,6 +210,48 @@
         }
     }
 
+    /// Takes in what the answer asks of the server's callers, and logs changes.
+    fn note_backpressure(&self, server: &CachedServer, answer: &HttpAnswer, now: MonoTime) {
+        let CachedServer { entry, .. } = server;
+        let names = self.format.headers();
+        let is_named =
+            answer.headers.get(&names.server).is_some_and(|it| it == entry.name.as_str());
+        // Another server that has taken over the address answers so as well.
+        if answer.status == StatusCode::MISDIRECTED_REQUEST && !is_named {
+            return;
+        }
+        let signal = self.format.backpressure(answer.status, &answer.headers);
+        let changed = self.backpressure.record_answer(&entry.name, entry.born, signal, now);
+        let Some(state) = changed else {
+            return;
+        };
+        for (label, is_asked) in [
+            ("limit", signal.max_rate.is_some()),
+            ("leaving", signal.is_leaving),
+            ("pause", signal.pause.is_some()),
+            ("none", signal == BackpressureSignal::default()),
+        ] {
+            let n_asked = u64::from(is_asked);
+            self.metrics.backpressure_changes.with_label_values(&[label]).inc_by(n_asked);
+        }
+        info!(self.log, "backpressure-changed"; "server" => %entry.name, "service" => %entry.service,
+            "max_rate" => state.max_rate(), "leaving" => state.leaving_since().is_some(),
+            "pause_ms" => state.paused_until().since(now).as_millis() as u64);
+    }
+
+    /// Counts a request that is sent to a server that asks for less.
+    fn count_backpressure_send(&self, server: &CachedServer, now: MonoTime) {
+        let state = self.backpressure.state(&server.entry.name, server.entry.born);
+        for (label, is_asked) in [
+            ("limit", state.max_rate().is_some()),
+            ("leaving", state.leaving_since().is_some()),
+            ("pause", state.paused_until() > now),
+        ] {
+            let n_asked = u64::from(is_asked);
+            self.metrics.backpressure_sends.with_label_values(&[label, "sent"]).inc_by(n_asked);
+        }
+    }
+
     /// Builds the request that is sent to `server`, with what is left of its time.
     fn build_request(
         &self,
--- /dev/null
+++ b/crates/policy/src/backpressure.rs
@@ -0,0 +1,74 @@
+//! What a server has asked of its callers in its answers: a rate, a pause, or no new work as it leaves.
+//!
+//! Load pattern: a server in need that goes on answering, so that neither failures nor its load reports
+//! show how much it can take.
+
+use std::time::Duration;
+
+use model::MonoTime;
+
+/// What one answer of a server asks of the router that receives it.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct BackpressureSignal {
+    /// Requests a second that the server takes from all routers together.
+    pub max_rate: Option<f64>,
+    /// Whether the server is leaving, so that new work has to go to other servers.
+    pub is_leaving: bool,
+    /// How long the server wants no requests from this router.
+    pub pause: Option<Duration>,
+}
+
+/// Most recent requests of one instance of a server to its callers.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct BackpressureState {
+    max_rate: Option<f64>,
+    /// When the newest known answer was sent that did or did not name a rate.
+    rated_at: MonoTime,
+    leaving_since: Option<MonoTime>,
+    paused_until: MonoTime,
+}
+
+impl BackpressureState {
+    /// Takes in a signal of the time `at`; returns whether it changes what the server is known to ask.
+    pub fn note(&mut self, signal: BackpressureSignal, at: MonoTime) -> bool {
+        let old = *self;
+        if at >= self.rated_at {
+            self.max_rate = signal.max_rate;
+            self.rated_at = at;
+        }
+        if signal.is_leaving {
+            self.leaving_since = Some(self.leaving_since.map_or(at, |it| it.min(at)));
+        }
+        if let Some(pause) = signal.pause {
+            self.paused_until = self.paused_until.max(at + pause);
+        }
+        self.max_rate != old.max_rate
+            || self.leaving_since.is_some() != old.leaving_since.is_some()
+            || self.paused_until != old.paused_until
+    }
+
+    /// Requests a second that the server takes from all routers together, if it has named a limit.
+    pub fn max_rate(&self) -> Option<f64> {
+        self.max_rate
+    }
+
+    /// When the newest known answer was sent, whether or not it named a rate.
+    pub fn rated_at(&self) -> MonoTime {
+        self.rated_at
+    }
+
+    /// Since when the server has said that it is leaving.
+    pub fn leaving_since(&self) -> Option<MonoTime> {
+        self.leaving_since
+    }
+
+    /// Until when the server wants no requests from this router.
+    pub fn paused_until(&self) -> MonoTime {
+        self.paused_until
+    }
+
+    /// Whether the server asks for less than it is sent otherwise.
+    pub fn is_empty(&self, now: MonoTime) -> bool {
+        self.max_rate.is_none() && self.leaving_since.is_none() && self.paused_until <= now
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,6 +3,7 @@
 //! The code performs no I/O: time is an argument, and random choices draw from a seeded generator.
 
 mod admission;
+mod backpressure;
 mod balancer;
 mod budget;
 mod cold_pacer;
@@ -17,6 +18,7 @@
 mod warmup;
 
 pub use admission::admit;
+pub use backpressure::{BackpressureSignal, BackpressureState};
 pub use balancer::{BalancerPolicy, ServerCandidate, ServiceBalancer};
 pub use budget::RetryBudget;
 pub use cold_pacer::ColdPacer;
