entry: send nothing to servers that have said that they leave

What servers saw: 57 requests in 2.5 s, from the drain time on after an answer with Server-Leaving. Cause: only the store's entry told that a server leaves; what a server asks in its answers was read by nobody. The class: a signal of a server to its callers that no decision knows of. Fix: one cache holds what each instance of a server has asked of its callers, with its age, for all threads; VMs send it to each other with the load reports (wire format of datagrams between VMs changed). A leaving server is chosen for shared services only if nothing else can serve, and nowhere from the drain time on, counted from the first such answer; the assigner moves its keys. A later answer, another VM or a lapsed entry does not bring it back: only another instance of the server does.

--- a/crates/entry/src/assigner.rs
+++ b/crates/entry/src/assigner.rs
@@ -33,8 +33,8 @@
 };
 
 use crate::{
-    AssignerRecord, EntrySettings, LeaseId, RecordChange, ServerFormat, SnapshotChannel,
-    StateSnapshot, StateStore, StoreError, StoredAssigner, StoredShards,
+    AssignerRecord, BackpressureCache, EntrySettings, LeaseId, RecordChange, ServerFormat,
+    SnapshotChannel, StateSnapshot, StateStore, StoreError, StoredAssigner, StoredShards,
     datagrams::{AckedRange, PeerDatagram, ShardUpdate, bind_socket, encode_datagrams},
     orders::{GrantKind, OrderOutcome, OrderSender, hold_end},
     state_cache::{ASSIGNER_RECORD, SHARDS_PREFIX, StateCache, encode_record},
@@ -114,6 +114,7 @@
     channel: SnapshotChannel,
     cache: Rc<RefCell<StateCache>>,
     loads: SharedLoads,
+    backpressure: BackpressureCache,
     state: Rc<RefCell<OrderState>>,
     /// Tasks in progress, with the time at which each was started.
     tasks: BTreeMap<TaskKey, MonoTime>,
@@ -161,6 +162,8 @@
     pub cache: Rc<RefCell<StateCache>>,
     /// Load that routers have reported.
     pub loads: SharedLoads,
+    /// What servers ask of their callers, as this VM and others have learned.
+    pub backpressure: BackpressureCache,
     /// Receives the assigner's events.
     pub log: Logger,
 }
@@ -177,6 +180,7 @@
             channel: parts.channel,
             cache: parts.cache,
             loads: parts.loads,
+            backpressure: parts.backpressure,
             state: Rc::default(),
             tasks: BTreeMap::new(),
             events: mpsc::unbounded_channel(),
--- a/crates/entry/src/assigner/planning.rs
+++ b/crates/entry/src/assigner/planning.rs
@@ -105,7 +105,9 @@
                 let work = loads.work.get(&it.entry.name).copied().unwrap_or(mean_work);
                 let speed = if work > 0.0 { (mean_work / work).clamp(0.4, 2.0) } else { 1.0 };
                 let has_ended = self.state.borrow().ended.contains(&it.instance());
+                let asked = self.backpressure.state(&it.entry.name, it.entry.born);
                 let phase = match () {
+                    () if asked.leaving_since().is_some() => ServerPhase::Leaving,
                     () if has_ended || it.draining_since.is_some() => ServerPhase::Leaving,
                     () if snapshot.is_evacuated(it) => ServerPhase::Leaving,
                     () if it.cold_until > now => ServerPhase::Cold,
--- a/crates/entry/src/datagram_tasks.rs
+++ b/crates/entry/src/datagram_tasks.rs
@@ -9,7 +9,8 @@
 use tokio::{net::UdpSocket, time::sleep};
 
 use crate::{
-    EntrySettings, ReportBatch, ReportCache, ServerFormat, SnapshotChannel, TrafficServer,
+    BackpressureCache, EntrySettings, ReportBatch, ReportCache, ServerFormat, SnapshotChannel,
+    TrafficServer,
     assigner::SharedLoads,
     datagrams::{
         DATAGRAM_BUFFER_BYTES, PeerDatagram, ROUTER_LOAD_INTERVAL, RouterLoad, bind_socket,
@@ -20,47 +21,61 @@
 };
 
 /// Receives datagrams of other VMs and applies them.
-pub(crate) async fn receive_datagrams(
-    settings: EntrySettings,
-    server_reports: ReportCache,
-    loads: SharedLoads,
-    cache: Rc<RefCell<StateCache>>,
-    channel: SnapshotChannel,
-    clock: ProcessClock,
-    log: Logger,
-) {
-    let address = settings.reports;
-    let socket = match bind_socket(address).await {
-        Ok(it) => it,
-        Err(err) => {
-            warn!(log, "reports-listen-failed"; "address" => %address, "cause" => %err);
-            return;
-        }
-    };
-    let mut buffer = vec![0; DATAGRAM_BUFFER_BYTES];
-    loop {
-        let Ok((len, _)) = socket.recv_from(&mut buffer).await else {
-            sleep(ROUTER_LOAD_INTERVAL).await;
-            continue;
+pub(crate) struct DatagramReceiver {
+    pub(crate) settings: EntrySettings,
+    pub(crate) server_reports: ReportCache,
+    pub(crate) backpressure: BackpressureCache,
+    pub(crate) loads: SharedLoads,
+    pub(crate) cache: Rc<RefCell<StateCache>>,
+    pub(crate) channel: SnapshotChannel,
+    pub(crate) clock: ProcessClock,
+    pub(crate) log: Logger,
+}
+
+impl DatagramReceiver {
+    /// Receives datagrams for as long as the process runs.
+    pub(crate) async fn run(self) {
+        let address = self.settings.reports;
+        let socket = match bind_socket(address).await {
+            Ok(it) => it,
+            Err(err) => {
+                warn!(self.log, "reports-listen-failed"; "address" => %address, "cause" => %err);
+                return;
+            }
         };
-        match decode_datagram(&buffer[..len]) {
-            Some(PeerDatagram::Load(load)) => apply_router_load(&loads, load, clock.now()),
-            Some(PeerDatagram::Shards(update)) => {
-                let mut cache = cache.borrow_mut();
+        let mut buffer = vec![0; DATAGRAM_BUFFER_BYTES];
+        loop {
+            let Ok((len, _)) = socket.recv_from(&mut buffer).await else {
+                sleep(ROUTER_LOAD_INTERVAL).await;
+                continue;
+            };
+            if let Some(datagram) = decode_datagram(&buffer[..len]) {
+                self.apply(datagram, self.clock.now());
+            }
+        }
+    }
+
+    fn apply(&self, datagram: PeerDatagram, now: MonoTime) {
+        match datagram {
+            PeerDatagram::Load(load) => apply_router_load(&self.loads, load, now),
+            PeerDatagram::Shards(update) => {
+                let mut cache = self.cache.borrow_mut();
                 // The change stream makes up for an update that is not contiguous.
                 if cache.apply_shard_update(update) {
-                    channel.publish(&mut cache);
+                    self.channel.publish(&mut cache);
                 }
             }
-            Some(PeerDatagram::Acked(range)) => {
-                let mut cache = cache.borrow_mut();
+            PeerDatagram::Acked(range) => {
+                let mut cache = self.cache.borrow_mut();
                 cache.apply_acked_range(range);
-                channel.publish(&mut cache);
+                self.channel.publish(&mut cache);
             }
-            Some(PeerDatagram::ServerReports(batch)) => {
-                server_reports.record_remote(&batch, &settings.domain, clock.now());
+            PeerDatagram::ServerReports(batch) => {
+                let own_domain = &self.settings.domain;
+                self.server_reports.record_remote(&batch, own_domain, now);
+                let ReportBatch { backpressure, domain, .. } = batch;
+                self.backpressure.record_remote(&backpressure, &domain, own_domain, now);
             }
-            None => (),
         }
     }
 }
@@ -70,6 +85,7 @@
 pub(crate) async fn send_server_reports(
     settings: EntrySettings,
     server_reports: ReportCache,
+    backpressure: BackpressureCache,
     channel: SnapshotChannel,
     clock: ProcessClock,
     log: Logger,
@@ -77,7 +93,8 @@
     let socket = bind_sender(&settings, &log).await;
     loop {
         sleep(SERVER_REPORT_INTERVAL).await;
-        let outgoing = server_reports.take_outgoing(clock.now());
+        let reports = server_reports.take_outgoing(clock.now());
+        let backpressure = backpressure.take_outgoing(clock.now());
         let snapshot = channel.current();
         let domain_relay = snapshot.domain_relay(&settings.domain);
         let is_domain_relay = domain_relay.is_some_and(|(vm, _)| *vm == settings.vm);
@@ -98,11 +115,18 @@
             ),
             false => (domain_relay.map(|(_, it)| it.reports).into_iter().collect(), Vec::new()),
         };
-        for (server_reports, targets) in [(outgoing.others, others), (outgoing.domain, peers)] {
-            if server_reports.is_empty() {
+        let domain = &settings.domain;
+        let batch = |server_reports, backpressure| ReportBatch {
+            domain: domain.clone(),
+            server_reports,
+            backpressure,
+        };
+        let for_others = batch(reports.others, backpressure.others);
+        let for_domain = batch(reports.domain, backpressure.domain);
+        for (batch, targets) in [(for_others, others), (for_domain, peers)] {
+            if batch.is_empty() {
                 continue;
             }
-            let batch = ReportBatch { domain: settings.domain.clone(), server_reports };
             // Batches can always be divided.
             let datagrams =
                 encode_datagrams(PeerDatagram::ServerReports(batch)).unwrap_or_default();
--- a/crates/entry/src/datagrams.rs
+++ b/crates/entry/src/datagrams.rs
@@ -152,12 +152,8 @@
     fn halves(self) -> Option<[Self; 2]> {
         match self {
             Self::Load(load) => load.halves().map(|it| it.map(Self::Load)),
-            Self::ServerReports(mut batch) if batch.server_reports.len() > 1 => {
-                let server_reports = batch.server_reports.split_off(batch.server_reports.len() / 2);
-                let second = ReportBatch { domain: batch.domain.clone(), server_reports };
-                Some([Self::ServerReports(batch), Self::ServerReports(second)])
-            }
-            Self::Shards(_) | Self::Acked(_) | Self::ServerReports(_) => None,
+            Self::ServerReports(batch) => batch.halves().map(|it| it.map(Self::ServerReports)),
+            Self::Shards(_) | Self::Acked(_) => None,
         }
     }
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -31,7 +31,7 @@
 mod traffic;
 
 pub use assigner::{AssignerParts, KeyAssigner, KeyedLoads, SharedLoads};
-pub use backpressure::BackpressureCache;
+pub use backpressure::{BackpressureCache, ServerBackpressure};
 pub use change_relay::{RelayBatch, RelayLog, RelayReply, RelayRequest, RelayedChanges};
 pub use change_timing::ChangeTiming;
 pub use connections::{
@@ -49,7 +49,7 @@
     ServerFormat, StateStore, StoreError,
 };
 pub use run::{SettingsSource, run_entry, run_entry_until};
-pub use server_reports::{OutgoingReports, ReportBatch, ReportCache, ServerReport};
+pub use server_reports::{Outgoing, ReportBatch, ReportCache, ServerReport};
 pub use settings_file::{AnswerLimits, EntrySettings, RawEntrySettings, RetryBounds};
 pub use snapshot::{
     AssignerRecord, CachedServer, LeaveStart, StateSnapshot, StoredAssigner, StoredShards,
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -20,7 +20,7 @@
     ReportCache, ServerFormat, SnapshotChannel, SourceSelector, StateStore, TrafficParts,
     TrafficServer, VmPresence,
     assigner::{KeyedLoads, SharedLoads},
-    datagram_tasks::{receive_datagrams, send_router_loads, send_server_reports},
+    datagram_tasks::{DatagramReceiver, send_router_loads, send_server_reports},
     http_server::{ShutdownPhase, serve_callers, serve_texts},
     presence::maintain_presence,
     state_cache::StateCache,
@@ -77,12 +77,13 @@
         "incarnation" => incarnation, "store" => %settings.store, "callers" => %settings.callers,
         "max_change_delay_ms" => settings.change_timing.max_delay().as_millis() as u64);
     let server_reports = ReportCache::default();
+    let backpressure = BackpressureCache::default();
     let metrics = EntryMetrics::default();
     let (stop_sender, stop) = watch::channel(false);
     let control = {
         let (settings, channel, log) = (settings.clone(), channel.clone(), log.clone());
         let (format, stop, server_reports) = (format.clone(), stop.clone(), server_reports.clone());
-        let metrics = metrics.clone();
+        let (metrics, backpressure) = (metrics.clone(), backpressure.clone());
         thread::Builder::new().name("control".to_owned()).spawn(move || {
             let parts = ControlParts {
                 settings,
@@ -93,6 +94,7 @@
                 channel,
                 relay_log,
                 server_reports,
+                backpressure,
                 metrics,
                 stop,
             };
@@ -106,7 +108,7 @@
         clock,
         metrics: metrics.clone(),
         server_reports,
-        backpressure: BackpressureCache::default(),
+        backpressure,
         seed: incarnation,
         log: log.clone(),
     }));
@@ -138,6 +140,7 @@
     channel: SnapshotChannel,
     relay_log: RelayLog,
     server_reports: ReportCache,
+    backpressure: BackpressureCache,
     metrics: EntryMetrics,
     stop: watch::Receiver<bool>,
 }
@@ -161,6 +164,7 @@
             channel,
             relay_log,
             server_reports,
+            backpressure,
             metrics,
             stop,
         } = parts;
@@ -182,19 +186,22 @@
         tokio::task::spawn_local(send_server_reports(
             settings.clone(),
             server_reports.clone(),
+            backpressure.clone(),
             channel.clone(),
             clock,
             log.clone(),
         ));
-        tokio::task::spawn_local(receive_datagrams(
-            settings.clone(),
+        let receiver = DatagramReceiver {
+            settings: settings.clone(),
             server_reports,
-            loads.clone(),
-            cache.clone(),
-            channel.clone(),
+            backpressure: backpressure.clone(),
+            loads: loads.clone(),
+            cache: cache.clone(),
+            channel: channel.clone(),
             clock,
-            log.clone(),
-        ));
+            log: log.clone(),
+        };
+        tokio::task::spawn_local(receiver.run());
         let presence = VmPresence {
             domain: settings.domain.clone(),
             millicores: settings.millicores,
@@ -218,6 +225,7 @@
             channel,
             cache,
             loads,
+            backpressure,
             log,
         };
         KeyAssigner::new(parts).run(stop).await;
--- a/crates/entry/src/server_reports.rs
+++ b/crates/entry/src/server_reports.rs
@@ -16,6 +16,8 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::ServerBackpressure;
+
 /// Time between report batches of a VM.
 pub const SERVER_REPORT_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -24,7 +26,7 @@
 
 /// Least difference in age by which a report counts as newer; smaller ones occur when the same
 /// report arrives by two paths.
-const MIN_AGE_DIFFERENCE: Duration = Duration::from_millis(25);
+pub(crate) const MIN_AGE_DIFFERENCE: Duration = Duration::from_millis(25);
 
 /// One server's load report as it is sent between VMs; counts saturate at their type's maximum.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -44,17 +46,35 @@
 }
 
 /// Load reports that one VM sends to another.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ReportBatch {
     /// Failure domain of the sending VM.
     pub domain: DomainName,
     /// At most one report for each server.
     pub server_reports: Vec<ServerReport>,
+    /// What servers ask of their callers.
+    pub backpressure: Vec<ServerBackpressure>,
+}
+
+impl ReportBatch {
+    /// Whether there is nothing to report.
+    pub fn is_empty(&self) -> bool {
+        self.server_reports.is_empty() && self.backpressure.is_empty()
+    }
+
+    /// Two batches that together have the same effect; `None` if this one can't be divided.
+    pub(crate) fn halves(mut self) -> Option<[Self; 2]> {
+        let server_reports = self.server_reports.split_off(self.server_reports.len().div_ceil(2));
+        let backpressure = self.backpressure.split_off(self.backpressure.len() / 2);
+        let second = Self { domain: self.domain.clone(), server_reports, backpressure };
+        let is_divided = !self.is_empty() && !second.is_empty();
+        is_divided.then_some([self, second])
+    }
 }
 
 /// VMs that a report has yet to be sent to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Audience {
+pub(crate) enum Audience {
     /// The VMs of the own failure domain.
     Domain,
     /// Those and the strongest VMs of the other failure domains.
@@ -77,13 +97,34 @@
     reports: Arc<Mutex<HashMap<u32, CachedReport>>>,
 }
 
-/// Reports that a VM has yet to send.
-#[derive(Debug, Default)]
-pub struct OutgoingReports {
+/// Items that a VM has yet to send.
+#[derive(Debug)]
+pub struct Outgoing<T> {
     /// For the VMs of the own failure domain.
-    pub domain: Vec<ServerReport>,
+    pub domain: Vec<T>,
     /// For the strongest VMs of the other failure domains.
-    pub others: Vec<ServerReport>,
+    pub others: Vec<T>,
+}
+
+impl<T> Default for Outgoing<T> {
+    fn default() -> Self {
+        Self { domain: Vec::new(), others: Vec::new() }
+    }
+}
+
+impl<T: Clone> Outgoing<T> {
+    /// Adds the item for its audience, if it has one.
+    pub(crate) fn add(&mut self, audience: Audience, item: impl FnOnce() -> T) {
+        match audience {
+            Audience::Nobody => (),
+            Audience::Domain => self.domain.push(item()),
+            Audience::All => {
+                let item = item();
+                self.others.push(item.clone());
+                self.domain.push(item);
+            }
+        }
+    }
 }
 
 impl ReportCache {
@@ -119,18 +160,13 @@
     }
 
     /// Reports that have yet to be sent; each is returned once.
-    pub fn take_outgoing(&self, now: MonoTime) -> OutgoingReports {
-        let mut outgoing = OutgoingReports::default();
+    pub fn take_outgoing(&self, now: MonoTime) -> Outgoing<ServerReport> {
+        let mut outgoing = Outgoing::default();
         let mut reports = self.lock();
         reports.retain(|_, it| now.since(it.at) < MAX_REPORT_AGE);
         for (&server, it) in reports.iter_mut() {
-            let server_report = ServerReport::new(server, it.report, now.since(it.at));
-            match std::mem::replace(&mut it.audience, Audience::Nobody) {
-                Audience::Nobody => continue,
-                Audience::All => outgoing.others.push(server_report),
-                Audience::Domain => (),
-            }
-            outgoing.domain.push(server_report);
+            let audience = std::mem::replace(&mut it.audience, Audience::Nobody);
+            outgoing.add(audience, || ServerReport::new(server, it.report, now.since(it.at)));
         }
         outgoing
     }
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -80,12 +80,16 @@
 /// Time for a request to reach the server, by which it is sent before the server's time is over.
 const SEND_MARGIN: Duration = Duration::from_millis(200);
 
+/// Part of the drain time in which requests may be sent to a server that leaves.
+pub(crate) fn usable_drain(drain: Duration) -> Duration {
+    drain.saturating_sub(SEND_MARGIN)
+}
+
 impl CachedServer {
     /// Whether requests for the server's keys may still be sent to it. It accepts them for `drain`
     /// after it has published that it is draining.
     pub fn is_usable_owner(&self, drain: Duration, now: MonoTime) -> bool {
-        let usable = drain.saturating_sub(SEND_MARGIN);
-        self.draining_since.is_none_or(|it| it.is_within(usable, now))
+        self.draining_since.is_none_or(|it| it.is_within(usable_drain(drain), now))
     }
 
     /// The current instance of the server.
--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -446,6 +446,10 @@
         let snapshot = self.channel.current();
         let mut state = self.state.borrow_mut();
         state.pool.sweep(now);
+        self.backpressure.sweep(
+            |name, born| snapshot.servers.get(name).is_some_and(|it| it.entry.born == born),
+            now,
+        );
         state.server_stats.retain(|name, _| snapshot.servers.contains_key(name));
         let has_service = |it: &ServiceName| {
             snapshot.plan.as_ref().is_some_and(|plan| plan.services.contains_key(it))
--- a/crates/entry/src/traffic/choice.rs
+++ b/crates/entry/src/traffic/choice.rs
@@ -1,7 +1,10 @@
 //! Chooses the server for a request: the owner of its key, or the server of a shared service that
 //! is likely to answer first.
 
+use policy::BackpressureState;
+
 use super::*;
+use crate::snapshot::usable_drain;
 
 /// Cost of a server in another failure domain, as a fraction of the latency objective.
 const CROSS_DOMAIN_PENALTY: f64 = 0.15;
@@ -16,8 +19,8 @@
 /// Spread of the random cost factor that makes routers with the same reports choose differently.
 const COST_JITTER: f64 = 0.3;
 
-/// Cost of a server that is paused after failures or whose domain is silent, as a multiple of the
-/// latency objective.
+/// Cost of a server that is paused after failures, is leaving or whose domain is silent, as a multiple of
+/// the latency objective.
 const SUSPECT_PENALTY: f64 = 5.0;
 
 /// Decision where to send a request.
@@ -61,7 +64,8 @@
             return SendChoice::AwaitChange(NotRunReason::NoOwner);
         };
         let settings = self.settings.load();
-        if !server.is_usable_owner(settings.drain, now) {
+        let asked = self.backpressure_of(server);
+        if !server.is_usable_owner(settings.drain, now) || self.has_left(&asked, now) {
             return SendChoice::AwaitChange(NotRunReason::NoOwner);
         }
         let evacuated_since = snapshot.evacuated.get(&server.entry.domain);
@@ -118,6 +122,10 @@
             if request.tried.contains(&server.entry.name) {
                 return None;
             }
+            let asked = self.backpressure_of(server);
+            if self.has_left(&asked, now) {
+                return None;
+            }
             let stats = current_stats(server_stats, server);
             if !stats.may_send(server, &self.settings.load().vm, snapshot, now) {
                 reason = NotRunReason::ColdServer;
@@ -132,7 +140,9 @@
             let expected = stats.estimator.expected_seconds(mean_seconds, now);
             let is_own_domain = server.entry.domain == self.settings.load().domain;
             let domain_penalty = if is_own_domain { 0.0 } else { CROSS_DOMAIN_PENALTY };
-            let is_suspect = stats.estimator.is_paused(now) || detector.is_avoided(now);
+            let is_suspect = stats.estimator.is_paused(now)
+                || detector.is_avoided(now)
+                || asked.leaving_since().is_some();
             let suspect_penalty = if is_suspect { SUSPECT_PENALTY } else { 0.0 };
             let jitter = 1.0 + COST_JITTER * rng.random::<f64>();
             Some(expected / objective * jitter + domain_penalty + suspect_penalty)
@@ -151,6 +161,17 @@
         }
     }
 
+    /// What the server asks of its callers.
+    pub(super) fn backpressure_of(&self, server: &CachedServer) -> BackpressureState {
+        self.backpressure.state(&server.entry.name, server.entry.born)
+    }
+
+    /// Whether the server has said so long ago that it is leaving that it must get nothing any more.
+    fn has_left(&self, asked: &BackpressureState, now: MonoTime) -> bool {
+        let usable = usable_drain(self.settings.load().drain);
+        asked.leaving_since().is_some_and(|it| now.since(it) >= usable)
+    }
+
     /// Applies the newest load report of a server, from this router or another, to its statistics
     /// and as a sign of life to its failure domain.
     fn apply_latest_report(
--- a/crates/entry/src/traffic/exchange.rs
+++ b/crates/entry/src/traffic/exchange.rs
@@ -241,7 +241,7 @@
 
     /// Counts a request that is sent to a server that asks for less.
     fn count_backpressure_send(&self, server: &CachedServer, now: MonoTime) {
-        let state = self.backpressure.state(&server.entry.name, server.entry.born);
+        let state = self.backpressure_of(server);
         for (label, is_asked) in [
             ("limit", state.max_rate().is_some()),
             ("leaving", state.leaving_since().is_some()),
--- a/crates/entry/tests/it/datagrams.rs
+++ b/crates/entry/tests/it/datagrams.rs
@@ -42,7 +42,8 @@
         sender.record_local(&server(number), report, now);
     }
     let outgoing = sender.take_outgoing(now).domain;
-    let batch = ReportBatch { domain: domain("a"), server_reports: outgoing };
+    let batch =
+        ReportBatch { domain: domain("a"), server_reports: outgoing, backpressure: Vec::new() };
     for datagram in deliver(PeerDatagram::ServerReports(batch)) {
         let PeerDatagram::ServerReports(batch) = datagram else { panic!("{datagram:?}") };
         receiver.record_remote(&batch, &domain("a"), now);
--- a/crates/entry/tests/it/main.rs
+++ b/crates/entry/tests/it/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the entry crate's public API.
 
+mod backpressure;
 mod change_delay;
 mod change_faults;
 mod change_relay;
--- a/crates/policy/src/backpressure.rs
+++ b/crates/policy/src/backpressure.rs
@@ -32,12 +32,9 @@
     /// Takes in a signal of the time `at`; returns whether it changes what the server is known to ask.
     pub fn note(&mut self, signal: BackpressureSignal, at: MonoTime) -> bool {
         let old = *self;
-        if at >= self.rated_at {
-            self.max_rate = signal.max_rate;
-            self.rated_at = at;
-        }
+        self.note_rate(signal.max_rate, at);
         if signal.is_leaving {
-            self.leaving_since = Some(self.leaving_since.map_or(at, |it| it.min(at)));
+            self.note_leaving(at);
         }
         if let Some(pause) = signal.pause {
             self.paused_until = self.paused_until.max(at + pause);
@@ -47,6 +44,19 @@
             || self.paused_until != old.paused_until
     }
 
+    /// Takes in that an answer of the time `at` named this rate, or none.
+    pub fn note_rate(&mut self, max_rate: Option<f64>, at: MonoTime) {
+        if at >= self.rated_at {
+            self.max_rate = max_rate;
+            self.rated_at = at;
+        }
+    }
+
+    /// Takes in that the server said at this time that it is leaving.
+    pub fn note_leaving(&mut self, at: MonoTime) {
+        self.leaving_since = Some(self.leaving_since.map_or(at, |it| it.min(at)));
+    }
+
     /// Requests a second that the server takes from all routers together, if it has named a limit.
     pub fn max_rate(&self) -> Option<f64> {
         self.max_rate
@@ -66,9 +76,4 @@
     pub fn paused_until(&self) -> MonoTime {
         self.paused_until
     }
-
-    /// Whether the server asks for less than it is sent otherwise.
-    pub fn is_empty(&self, now: MonoTime) -> bool {
-        self.max_rate.is_none() && self.leaving_since.is_none() && self.paused_until <= now
-    }
 }
