entry: leave servers alone for as long as they ask

What servers saw: 3 to 38 requests (2 allowed) between half a second after a 503 with Retry-After and the end of that time. Cause: the answer's time was not read; a refusal paused a server by a backoff of 0.1 to 1.6 s that made it dearer, but did not leave it out, and the choice of a key's owner did not ask for it at all. Fix: the time that a server names is kept by instance, binds both choices on this VM only, as the server has named it to this VM, and ends only with its time. A keyed request waits for a pause that ends early enough for its objective; otherwise it is refused at once, with the rest of the pause as Retry-After. Weighed: sending the caller to another VM at once; the server in need would get the same request from there.

--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -31,7 +31,7 @@
 use settings::ProcessClock;
 use slog::{Logger, info};
 use smallvec::SmallVec;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::{
     BackpressureCache, CachedServer, ConnectionNumber, ConnectionPool, EntryMetrics, EntrySettings,
@@ -81,6 +81,8 @@
     n_sends: u32,
     /// Connections that carried an attempt; no later attempt uses them.
     connections: SmallVec<[ConnectionNumber; 2]>,
+    /// Until when the server that refused it takes nothing from this VM.
+    refused_until: MonoTime,
     /// Last attempt that the server may have run, with its answer if there was one.
     unknown_outcome: Option<(UnknownReason, Option<HttpAnswer>)>,
 }
@@ -245,6 +247,7 @@
             tried: SmallVec::new(),
             n_sends: 0,
             connections: SmallVec::new(),
+            refused_until: MonoTime::default(),
             unknown_outcome: None,
         };
         if let Some(key) = key {
@@ -290,6 +293,14 @@
             let server = match self.choose(request, now) {
                 SendChoice::To(server) => server,
                 SendChoice::Refuse(reason) => return Err(reason),
+                SendChoice::RefuseUntil(reason, until) => {
+                    request.refused_until = until;
+                    return Err(reason);
+                }
+                SendChoice::Wait(wait) => {
+                    sleep(wait).await;
+                    continue;
+                }
                 SendChoice::AwaitChange(reason) => {
                     let time_limit = request.deadline.since(request.arrived);
                     let until = request.arrived + time_limit.mul_f64(OWNER_WAIT_SHARE);
@@ -388,7 +399,10 @@
                         now.since(self.channel.current().synced_at).as_millis() as u64);
                 let mut response = self.local_answer(&request.id, status);
                 if let Some(reason) = refusal {
-                    let queue = self.shortest_queue(request, now);
+                    let queue = match reason {
+                        NotRunReason::ServerPaused => request.refused_until.since(now),
+                        _ => self.shortest_queue(request, now),
+                    };
                     let after = retry_delay(reason, queue, request.time_left(now)).as_secs_f64();
                     if let Ok(value) = format!("{after:.3}").parse() {
                         response.headers_mut().insert(header::RETRY_AFTER, value);
--- a/crates/entry/src/traffic/choice.rs
+++ b/crates/entry/src/traffic/choice.rs
@@ -1,7 +1,7 @@
 //! Chooses the server for a request: the owner of its key, or the server of a shared service that
 //! is likely to answer first.
 
-use policy::BackpressureState;
+use policy::{BackpressureState, queue_bound};
 
 use super::*;
 use crate::snapshot::usable_drain;
@@ -31,6 +31,10 @@
     AwaitChange(NotRunReason),
     /// No server can answer in time.
     Refuse(NotRunReason),
+    /// The servers that could answer take nothing from this VM until then.
+    RefuseUntil(NotRunReason, MonoTime),
+    /// The server takes the request after this time, early enough for its objective.
+    Wait(Duration),
 }
 
 impl<F: ServerFormat> TrafficServer<F> {
@@ -86,12 +90,23 @@
         if detector.is_avoided(now) {
             return SendChoice::Refuse(NotRunReason::NoOwner);
         }
+        let pause = asked.paused_until().since(now);
         match is_queue_too_long(&stats.estimator, request, mean_seconds, now) {
             true => SendChoice::Refuse(NotRunReason::Overloaded),
+            false if pause > max_wait(&stats.estimator, request, mean_seconds, now) => {
+                self.count_held_back("pause");
+                SendChoice::RefuseUntil(NotRunReason::ServerPaused, asked.paused_until())
+            }
+            false if pause > Duration::ZERO => SendChoice::Wait(pause),
             false => SendChoice::To(server.clone()),
         }
     }
 
+    /// Counts a request that is not sent to a server that asks for less.
+    fn count_held_back(&self, signal: &str) {
+        self.metrics.backpressure_sends.with_label_values(&[signal, "held-back"]).inc();
+    }
+
     /// Chooses the cheapest of a sample of the service's servers.
     ///
     /// The cost is the expected time to the answer in units of the latency objective, with random
@@ -114,6 +129,8 @@
         let max_open = (connections * CONNECTION_SHARE / n_vms).floor().max(1.0);
         let servers: Vec<&CachedServer> = snapshot.usable(&request.service).collect();
         let mut reason = NotRunReason::NoServer;
+        // When the first of the servers that have asked for a pause takes requests again.
+        let mut takes_at = request.deadline;
         let TrafficState { server_stats, silence_detectors, rng, .. } = state;
         // Sampling needs its own generator, as `rng` is borrowed by the cost closure.
         let mut sampling_rng = SmallRng::seed_from_u64(rng.random());
@@ -126,6 +143,11 @@
             if self.has_left(&asked, now) {
                 return None;
             }
+            if asked.paused_until() > now {
+                reason = NotRunReason::ServerPaused;
+                takes_at = takes_at.min(asked.paused_until());
+                return None;
+            }
             let stats = current_stats(server_stats, server);
             if !stats.may_send(server, &self.settings.load().vm, snapshot, now) {
                 reason = NotRunReason::ColdServer;
@@ -148,7 +170,13 @@
             Some(expected / objective * jitter + domain_penalty + suspect_penalty)
         });
         let Some(server) = chosen.map(|idx| servers[idx]) else {
-            return SendChoice::Refuse(reason);
+            return match reason {
+                NotRunReason::ServerPaused => {
+                    self.count_held_back("pause");
+                    SendChoice::RefuseUntil(reason, takes_at)
+                }
+                _ => SendChoice::Refuse(reason),
+            };
         };
         match is_queue_too_long(
             &current_stats(server_stats, server).estimator,
@@ -206,6 +234,19 @@
     }
 }
 
+/// Longest time that a request may wait here, so that its answer is still in time.
+fn max_wait(
+    estimator: &LoadEstimator,
+    request: &RequestState,
+    mean_seconds: f64,
+    now: MonoTime,
+) -> Duration {
+    let objective = (request.arrived + request.route.latency_objective).since(now);
+    let work_seconds = estimator.current_work_seconds(mean_seconds, now);
+    let bound = queue_bound(objective, request.time_left(now), work_seconds);
+    Duration::from_secs_f64(bound.max(0.0))
+}
+
 /// Whether the server's queue is longer than the request's latency objective and deadline allow.
 fn is_queue_too_long(
     estimator: &LoadEstimator,
--- a/crates/model/src/request.rs
+++ b/crates/model/src/request.rs
@@ -94,6 +94,10 @@
     DeadlinePassed,
     /// This VM is shutting down and takes no new work.
     Leaving,
+    /// The server has asked this VM for a pause.
+    ServerPaused,
+    /// The server takes no more requests now from all VMs together, as it has said.
+    RateLimited,
 }
 
 /// Why it is not known whether a request ran.
--- a/crates/policy/src/retry_delay.rs
+++ b/crates/policy/src/retry_delay.rs
@@ -1,7 +1,8 @@
 //! Delay before a refused caller should retry.
 //!
 //! Load pattern: servers that shed at random although the service has room, where an immediate retry
-//! is likely to succeed, and queues that need time to drain, where it would be refused again.
+//! is likely to succeed; queues that need time to drain and servers that take nothing before a known
+//! time, where it would be refused again.
 
 use std::time::Duration;
 
@@ -24,10 +25,12 @@
 
 /// Delay before a caller that was refused for `reason` should retry.
 ///
-/// `queue_time` is the estimated time in the shortest queue of the service, and `left` the time to the
-/// request's deadline.
+/// `queue_time` is the estimated time in the shortest queue of the service, or the time for which the
+/// server takes nothing, and `left` the time to the request's deadline.
 pub fn retry_delay(reason: NotRunReason, queue_time: Duration, left: Duration) -> Duration {
     let delay = match reason {
+        // Another VM may send sooner, but would add to what the server has asked to be spared.
+        NotRunReason::ServerPaused | NotRunReason::RateLimited => ROUND_TRIP_DELAY + queue_time,
         NotRunReason::Shed | NotRunReason::ConnectFailed | NotRunReason::Overloaded => {
             ROUND_TRIP_DELAY + queue_time.mul_f64(QUEUE_DRAIN_SHARE)
         }
