entry: send no more to a server than the rate that it names, all VMs together

Cause: the limit was read by nobody (hypothesis A: the backpressure-changed lines and the sends counted after them in the test's runs), and nothing in the entry could have kept to a sum over VMs (B): its shares are of retries and of cold servers, divided by the number of VMs. Fix: one VM, chosen by rendezvous order among those of the server's failure domain, keeps the schedule of a limited server; the others call it by datagram for each request, with the time that the request can wait. A second VM gives out 0.4 of the rate to those that the first does not answer, and a VM that neither answers has 0.5 of an equal share, so that disagreement stays below one and a half times the rate. A refusal comes at once, with the time of the next permit as Retry-After. Weighed: equal shares (one request in 155 s a VM at 295 VMs and 1.9 a second: unusable where demand is uneven) and a few senders (the others' callers get nothing). Why it works: no permit is saved up beyond 0.1 s, so a window of 4 s holds 4.1 times the rate and one.

--- a/crates/entry/src/backpressure.rs
+++ b/crates/entry/src/backpressure.rs
@@ -34,6 +34,20 @@
     pub leaving_age_ms: Option<u32>,
 }
 
+impl ServerBackpressure {
+    /// What the instance has asked by `now`.
+    pub fn new(server: &ServerName, born: u64, state: &BackpressureState, now: MonoTime) -> Self {
+        let age_ms = |at: MonoTime| now.since(at).as_millis().min(u32::MAX.into()) as u32;
+        Self {
+            server: server.clone(),
+            born,
+            max_rate: state.max_rate(),
+            age_ms: age_ms(state.rated_at()),
+            leaving_age_ms: state.leaving_since().map(age_ms),
+        }
+    }
+}
+
 /// What one instance of a server has asked.
 #[derive(Debug, Clone, Copy)]
 struct CachedBackpressure {
@@ -119,16 +133,8 @@
     pub fn take_outgoing(&self, now: MonoTime) -> Outgoing<ServerBackpressure> {
         let mut outgoing = Outgoing::default();
         for (server, it) in self.lock().iter_mut() {
-            let age_ms = |at: MonoTime| now.since(at).as_millis().min(u32::MAX.into()) as u32;
-            let state = it.state;
             let audience = std::mem::replace(&mut it.audience, Audience::Nobody);
-            outgoing.add(audience, || ServerBackpressure {
-                server: server.clone(),
-                born: it.born,
-                max_rate: state.max_rate(),
-                age_ms: age_ms(state.rated_at()),
-                leaving_age_ms: state.leaving_since().map(age_ms),
-            });
+            outgoing.add(audience, || ServerBackpressure::new(server, it.born, &it.state, now));
         }
         outgoing
     }
--- a/crates/entry/src/datagram_tasks.rs
+++ b/crates/entry/src/datagram_tasks.rs
@@ -4,6 +4,7 @@
 
 use model::{DomainName, MonoTime};
 use ownership::KeyLoad;
+use policy::PermitDecision;
 use settings::ProcessClock;
 use slog::{Logger, warn};
 use tokio::{net::UdpSocket, time::sleep};
@@ -16,6 +17,7 @@
         DATAGRAM_BUFFER_BYTES, PeerDatagram, ROUTER_LOAD_INTERVAL, RouterLoad, bind_socket,
         decode_datagram, encode_datagrams,
     },
+    permits::{PermitReply, PermitRequest, SharedKeeper},
     server_reports::SERVER_REPORT_INTERVAL,
     state_cache::StateCache,
 };
@@ -25,6 +27,7 @@
     pub(crate) settings: EntrySettings,
     pub(crate) server_reports: ReportCache,
     pub(crate) backpressure: BackpressureCache,
+    pub(crate) permit_keeper: SharedKeeper,
     pub(crate) loads: SharedLoads,
     pub(crate) cache: Rc<RefCell<StateCache>>,
     pub(crate) channel: SnapshotChannel,
@@ -45,17 +48,23 @@
         };
         let mut buffer = vec![0; DATAGRAM_BUFFER_BYTES];
         loop {
-            let Ok((len, _)) = socket.recv_from(&mut buffer).await else {
+            let Ok((len, from)) = socket.recv_from(&mut buffer).await else {
                 sleep(ROUTER_LOAD_INTERVAL).await;
                 continue;
             };
-            if let Some(datagram) = decode_datagram(&buffer[..len]) {
-                self.apply(datagram, self.clock.now());
+            let datagram = decode_datagram(&buffer[..len]);
+            let reply = datagram.and_then(|it| self.apply(it, self.clock.now()));
+            // A reply is never too long.
+            let bytes = reply.and_then(|it| encode_datagrams(it).ok()).unwrap_or_default();
+            for bytes in bytes {
+                // The caller sends a call again whose reply is lost.
+                let _ = socket.send_to(&bytes, from).await;
             }
         }
     }
 
-    fn apply(&self, datagram: PeerDatagram, now: MonoTime) {
+    /// Applies a datagram and returns the reply to it, if it is a call.
+    fn apply(&self, datagram: PeerDatagram, now: MonoTime) -> Option<PeerDatagram> {
         match datagram {
             PeerDatagram::Load(load) => apply_router_load(&self.loads, load, now),
             PeerDatagram::Shards(update) => {
@@ -76,7 +85,29 @@
                 let ReportBatch { backpressure, domain, .. } = batch;
                 self.backpressure.record_remote(&backpressure, &domain, own_domain, now);
             }
+            PeerDatagram::PermitRequest(request) => {
+                let PermitRequest { id, .. } = request;
+                let decision = self.decide_permit(request, now);
+                return Some(PeerDatagram::PermitReply(PermitReply { id, decision }));
+            }
+            // Replies go to the sockets of their callers.
+            PeerDatagram::PermitReply(_) => (),
         }
+        None
+    }
+
+    /// Decides on a permit by the newest rate that either VM knows of.
+    fn decide_permit(&self, request: PermitRequest, now: MonoTime) -> PermitDecision {
+        let PermitRequest { server, rank, max_wait_ms, .. } = request;
+        let domain = &self.settings.domain;
+        self.backpressure.record_remote(std::slice::from_ref(&server), domain, domain, now);
+        let Some(max_rate) = self.backpressure.state(&server.server, server.born).max_rate() else {
+            return PermitDecision::Granted(Duration::ZERO);
+        };
+        let rate = rank.rate(max_rate, self.channel.current().vms.len());
+        let max_wait = Duration::from_millis(max_wait_ms.into());
+        let mut keeper = self.permit_keeper.lock();
+        keeper.decide(&server.server, server.born, rank, rate, max_wait, now)
     }
 }
 
--- a/crates/entry/src/datagrams.rs
+++ b/crates/entry/src/datagrams.rs
@@ -1,5 +1,5 @@
 //! Datagrams that entry VMs send each other: load by key, for the assigner; changes of shards,
-//! ahead of the store's change stream; and load reports of servers.
+//! ahead of the store's change stream; load reports of servers; and permits to send to servers.
 //!
 //! Datagrams may be lost: a stream between each pair of VMs would cost more than the data is worth.
 //! Each is applied on its own and replaces no other.
@@ -10,7 +10,10 @@
 use ownership::{KeyRange, ShardDelta};
 use serde::{Deserialize, Serialize};
 
-use crate::server_reports::ReportBatch;
+use crate::{
+    permits::{PermitReply, PermitRequest},
+    server_reports::ReportBatch,
+};
 
 /// Time between load datagrams of a router to the assigner.
 pub const ROUTER_LOAD_INTERVAL: Duration = Duration::from_millis(250);
@@ -73,6 +76,10 @@
     Acked(AckedRange),
     /// Load reports of servers; sent by all VMs and forwarded by the relay of each domain.
     ServerReports(ReportBatch),
+    /// Call for a permit to send to a server that has named a rate; sent to the server's keeper.
+    PermitRequest(PermitRequest),
+    /// Answer to such a call.
+    PermitReply(PermitReply),
 }
 
 /// A datagram that is too long and can't be divided.
@@ -153,7 +160,9 @@
         match self {
             Self::Load(load) => load.halves().map(|it| it.map(Self::Load)),
             Self::ServerReports(batch) => batch.halves().map(|it| it.map(Self::ServerReports)),
-            Self::Shards(_) | Self::Acked(_) => None,
+            Self::Shards(_) | Self::Acked(_) | Self::PermitRequest(_) | Self::PermitReply(_) => {
+                None
+            }
         }
     }
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -16,6 +16,7 @@
 mod metrics;
 mod observed_stream;
 mod orders;
+mod permits;
 mod plan;
 mod ports;
 mod presence;
@@ -43,6 +44,7 @@
 };
 pub use http_server::{ShutdownPhase, serve_callers};
 pub use metrics::EntryMetrics;
+pub use permits::{PermitClient, PermitReply, PermitRequest, SharedKeeper};
 pub use plan::{CallerLimits, PlanRoute, RoutePlan, RouteTarget, ServiceSettings};
 pub use ports::{
     BatchScope, ChangeBatch, ChangeEvent, HeaderNames, LeaseId, RecordChange, ServerEntry,
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -17,8 +17,8 @@
 
 use crate::{
     AssignerParts, BackpressureCache, EntryMetrics, EntrySettings, KeyAssigner, RelayLog,
-    ReportCache, ServerFormat, SnapshotChannel, SourceSelector, StateStore, TrafficParts,
-    TrafficServer, VmPresence,
+    ReportCache, ServerFormat, SharedKeeper, SnapshotChannel, SourceSelector, StateStore,
+    TrafficParts, TrafficServer, VmPresence,
     assigner::{KeyedLoads, SharedLoads},
     datagram_tasks::{DatagramReceiver, send_router_loads, send_server_reports},
     http_server::{ShutdownPhase, serve_callers, serve_texts},
@@ -78,12 +78,14 @@
         "max_change_delay_ms" => settings.change_timing.max_delay().as_millis() as u64);
     let server_reports = ReportCache::default();
     let backpressure = BackpressureCache::default();
+    let permit_keeper = SharedKeeper::default();
     let metrics = EntryMetrics::default();
     let (stop_sender, stop) = watch::channel(false);
     let control = {
         let (settings, channel, log) = (settings.clone(), channel.clone(), log.clone());
         let (format, stop, server_reports) = (format.clone(), stop.clone(), server_reports.clone());
         let (metrics, backpressure) = (metrics.clone(), backpressure.clone());
+        let permit_keeper = permit_keeper.clone();
         thread::Builder::new().name("control".to_owned()).spawn(move || {
             let parts = ControlParts {
                 settings,
@@ -95,6 +97,7 @@
                 relay_log,
                 server_reports,
                 backpressure,
+                permit_keeper,
                 metrics,
                 stop,
             };
@@ -109,6 +112,7 @@
         metrics: metrics.clone(),
         server_reports,
         backpressure,
+        permit_keeper,
         seed: incarnation,
         log: log.clone(),
     }));
@@ -141,6 +145,7 @@
     relay_log: RelayLog,
     server_reports: ReportCache,
     backpressure: BackpressureCache,
+    permit_keeper: SharedKeeper,
     metrics: EntryMetrics,
     stop: watch::Receiver<bool>,
 }
@@ -165,6 +170,7 @@
             relay_log,
             server_reports,
             backpressure,
+            permit_keeper,
             metrics,
             stop,
         } = parts;
@@ -195,6 +201,7 @@
             settings: settings.clone(),
             server_reports,
             backpressure: backpressure.clone(),
+            permit_keeper,
             loads: loads.clone(),
             cache: cache.clone(),
             channel: channel.clone(),
--- a/crates/entry/src/stats.rs
+++ b/crates/entry/src/stats.rs
@@ -19,6 +19,8 @@
     pub born: u64,
     /// Estimate of its load and speed.
     pub estimator: LoadEstimator,
+    /// Until when there is no permit for it, as its keeper has told.
+    pub next_permit_at: MonoTime,
     /// Set while the server is cold; `Some(None)` if this router has no part of its allowance, or
     /// the plan lacks its service.
     cold_pacer: Option<Option<ColdPacer>>,
@@ -27,7 +29,12 @@
 impl ServerStats {
     /// Creates the statistics of an instance with `slots` that nothing was sent to.
     pub fn new(born: u64, slots: u32) -> Self {
-        Self { born, estimator: LoadEstimator::new(slots), cold_pacer: None }
+        Self {
+            born,
+            estimator: LoadEstimator::new(slots),
+            next_permit_at: MonoTime::default(),
+            cold_pacer: None,
+        }
     }
 
     /// Whether a request may be sent now: always to a warm server, at its pacer's rate to a cold
--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -4,10 +4,12 @@
 mod choice;
 mod exchange;
 mod headers;
+mod permits;
 
 use std::{
     cell::RefCell,
     collections::{BTreeSet, HashMap},
+    net::SocketAddr,
     rc::Rc,
     sync::Arc,
     time::Duration,
@@ -21,11 +23,12 @@
 use http_body_util::Full;
 use model::{
     DomainName, Idempotency, MonoTime, NotRunReason, ServerName, ServiceName, StepError,
-    UnknownReason,
+    UnknownReason, VmName,
 };
+use ownership::ServerInstance;
 use policy::{
-    BackpressureSignal, CallEnd, LoadEstimator, RetryBudget, SilenceDetector, choose_cheapest,
-    retry_delay,
+    BackpressureSignal, CallEnd, KeeperHealth, LoadEstimator, RetryBudget, SilenceDetector,
+    choose_cheapest, retry_delay,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use settings::ProcessClock;
@@ -35,8 +38,8 @@
 
 use crate::{
     BackpressureCache, CachedServer, ConnectionNumber, ConnectionPool, EntryMetrics, EntrySettings,
-    ExchangeError, HttpAnswer, HttpConnection, PlanRoute, ReportCache, ServerFormat,
-    SnapshotChannel, StateSnapshot,
+    ExchangeError, HttpAnswer, HttpConnection, PermitClient, PlanRoute, ReportCache,
+    ServerBackpressure, ServerEntry, ServerFormat, SharedKeeper, SnapshotChannel, StateSnapshot,
     datagrams::RouterLoad,
     stats::{INITIAL_SECONDS, ServerStats, ServiceStats},
 };
@@ -81,6 +84,8 @@
     n_sends: u32,
     /// Connections that carried an attempt; no later attempt uses them.
     connections: SmallVec<[ConnectionNumber; 2]>,
+    /// Server that the next attempt has a permit for.
+    permit: Option<ServerInstance>,
     /// Until when the server that refused it takes nothing from this VM.
     refused_until: MonoTime,
     /// Last attempt that the server may have run, with its answer if there was one.
@@ -91,6 +96,13 @@
     fn time_left(&self, now: MonoTime) -> Duration {
         self.deadline.since(now)
     }
+
+    /// Whether the next attempt has a permit for the server.
+    fn has_permit(&self, server: &CachedServer) -> bool {
+        self.permit
+            .as_ref()
+            .is_some_and(|it| it.server == server.entry.name && it.born == server.entry.born)
+    }
 }
 
 /// Mutable state of the traffic thread.
@@ -99,6 +111,7 @@
     server_stats: HashMap<ServerName, ServerStats>,
     service_stats: HashMap<ServiceName, ServiceStats>,
     silence_detectors: HashMap<DomainName, SilenceDetector>,
+    keeper_health: KeeperHealth,
     /// Requests by service and key since the last report to the assigner.
     key_counts: HashMap<ServiceName, HashMap<u16, u32>>,
     rng: SmallRng,
@@ -129,6 +142,8 @@
     pub server_reports: ReportCache,
     /// What servers ask of their callers, shared with the other threads of the process.
     pub backpressure: BackpressureCache,
+    /// Schedules that this process keeps for all VMs, shared with the control thread.
+    pub permit_keeper: SharedKeeper,
     /// Seed of the random choices.
     pub seed: u64,
     /// Log for failed requests and attempts.
@@ -144,6 +159,8 @@
     metrics: EntryMetrics,
     server_reports: ReportCache,
     backpressure: BackpressureCache,
+    permit_keeper: SharedKeeper,
+    permit_client: PermitClient,
     state: RefCell<TrafficState>,
     log: Logger,
 }
@@ -156,6 +173,7 @@
             server_stats: HashMap::new(),
             service_stats: HashMap::new(),
             silence_detectors: HashMap::new(),
+            keeper_health: KeeperHealth::default(),
             key_counts: HashMap::new(),
             rng: SmallRng::seed_from_u64(parts.seed),
             n_open: 0,
@@ -168,6 +186,8 @@
             metrics: parts.metrics,
             server_reports: parts.server_reports,
             backpressure: parts.backpressure,
+            permit_keeper: parts.permit_keeper,
+            permit_client: PermitClient::default(),
             state: RefCell::new(state),
             log: parts.log,
         }
@@ -247,6 +267,7 @@
             tried: SmallVec::new(),
             n_sends: 0,
             connections: SmallVec::new(),
+            permit: None,
             refused_until: MonoTime::default(),
             unknown_outcome: None,
         };
@@ -297,6 +318,10 @@
                     request.refused_until = until;
                     return Err(reason);
                 }
+                SendChoice::GetPermit(server, max_wait) => {
+                    self.obtain_permit(request, &server, max_wait).await;
+                    continue;
+                }
                 SendChoice::Wait(wait) => {
                     sleep(wait).await;
                     continue;
@@ -400,7 +425,9 @@
                 let mut response = self.local_answer(&request.id, status);
                 if let Some(reason) = refusal {
                     let queue = match reason {
-                        NotRunReason::ServerPaused => request.refused_until.since(now),
+                        NotRunReason::ServerPaused | NotRunReason::RateLimited => {
+                            request.refused_until.since(now)
+                        }
                         _ => self.shortest_queue(request, now),
                     };
                     let after = retry_delay(reason, queue, request.time_left(now)).as_secs_f64();
@@ -464,6 +491,7 @@
             |name, born| snapshot.servers.get(name).is_some_and(|it| it.entry.born == born),
             now,
         );
+        state.keeper_health.retain(|vm| snapshot.vms.contains_key(vm));
         state.server_stats.retain(|name, _| snapshot.servers.contains_key(name));
         let has_service = |it: &ServiceName| {
             snapshot.plan.as_ref().is_some_and(|plan| plan.services.contains_key(it))
--- a/crates/entry/src/traffic/choice.rs
+++ b/crates/entry/src/traffic/choice.rs
@@ -33,6 +33,8 @@
     Refuse(NotRunReason),
     /// The servers that could answer take nothing from this VM until then.
     RefuseUntil(NotRunReason, MonoTime),
+    /// Send it to this server once there is a permit, which may take so long.
+    GetPermit(CachedServer, Duration),
     /// The server takes the request after this time, early enough for its objective.
     Wait(Duration),
 }
@@ -91,13 +93,20 @@
             return SendChoice::Refuse(NotRunReason::NoOwner);
         }
         let pause = asked.paused_until().since(now);
+        let max_wait = max_wait(&stats.estimator, request, mean_seconds, now);
+        let needs_permit = asked.max_rate().is_some() && !request.has_permit(server);
         match is_queue_too_long(&stats.estimator, request, mean_seconds, now) {
             true => SendChoice::Refuse(NotRunReason::Overloaded),
-            false if pause > max_wait(&stats.estimator, request, mean_seconds, now) => {
+            false if pause > max_wait => {
                 self.count_held_back("pause");
                 SendChoice::RefuseUntil(NotRunReason::ServerPaused, asked.paused_until())
             }
             false if pause > Duration::ZERO => SendChoice::Wait(pause),
+            false if needs_permit && stats.next_permit_at > now + max_wait => {
+                self.count_held_back("limit");
+                SendChoice::RefuseUntil(NotRunReason::RateLimited, stats.next_permit_at)
+            }
+            false if needs_permit => SendChoice::GetPermit(server.clone(), max_wait),
             false => SendChoice::To(server.clone()),
         }
     }
@@ -127,9 +136,13 @@
         let connections = settings.map_or(f64::MAX, |it| f64::from(it.connections));
         // This router's part of the connections, but at least one.
         let max_open = (connections * CONNECTION_SHARE / n_vms).floor().max(1.0);
-        let servers: Vec<&CachedServer> = snapshot.usable(&request.service).collect();
+        let mut servers: Vec<&CachedServer> = snapshot.usable(&request.service).collect();
+        // A permit is for one server.
+        if servers.iter().any(|it| request.has_permit(it)) {
+            servers.retain(|it| request.has_permit(it));
+        }
         let mut reason = NotRunReason::NoServer;
-        // When the first of the servers that have asked for a pause takes requests again.
+        // When the first of the servers that take nothing now takes requests again.
         let mut takes_at = request.deadline;
         let TrafficState { server_stats, silence_detectors, rng, .. } = state;
         // Sampling needs its own generator, as `rng` is borrowed by the cost closure.
@@ -149,6 +162,12 @@
                 return None;
             }
             let stats = current_stats(server_stats, server);
+            let needs_permit = asked.max_rate().is_some() && !request.has_permit(server);
+            if needs_permit && stats.next_permit_at > now {
+                reason = NotRunReason::RateLimited;
+                takes_at = takes_at.min(stats.next_permit_at);
+                return None;
+            }
             if !stats.may_send(server, &self.settings.load().vm, snapshot, now) {
                 reason = NotRunReason::ColdServer;
                 return None;
@@ -175,6 +194,10 @@
                     self.count_held_back("pause");
                     SendChoice::RefuseUntil(reason, takes_at)
                 }
+                NotRunReason::RateLimited => {
+                    self.count_held_back("limit");
+                    SendChoice::RefuseUntil(reason, takes_at)
+                }
                 _ => SendChoice::Refuse(reason),
             };
         };
@@ -185,6 +208,12 @@
             now,
         ) {
             true => SendChoice::Refuse(NotRunReason::Overloaded),
+            false
+                if self.backpressure_of(server).max_rate().is_some()
+                    && !request.has_permit(server) =>
+            {
+                SendChoice::GetPermit(server.clone(), Duration::ZERO)
+            }
             false => SendChoice::To(server.clone()),
         }
     }
--- a/crates/entry/src/traffic/exchange.rs
+++ b/crates/entry/src/traffic/exchange.rs
@@ -44,6 +44,8 @@
     ) -> SendOutcome {
         let name = &server.entry.name;
         self.count_backpressure_send(server, now);
+        // A permit is for one attempt.
+        request.permit = None;
         {
             let mut state = self.state.borrow_mut();
             let stats = current_stats(&mut state.server_stats, server);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,6 +10,7 @@
 mod concurrency;
 mod silence_detector;
 mod load_estimator;
+mod permits;
 mod placement;
 mod quantile;
 mod queue_bound;
@@ -24,6 +25,9 @@
 pub use cold_pacer::ColdPacer;
 pub use concurrency::{CallTiming, ConcurrencyLimit};
 pub use load_estimator::{CallEnd, LoadEstimator, LoadReport};
+pub use permits::{
+    KeeperHealth, KeeperRank, PermitDecision, PermitKeeper, PermitSchedule, permit_keepers,
+};
 pub use placement::choose_cheapest;
 pub use quantile::QuantileTracker;
 pub use queue_bound::queue_bound;
--- a/crates/policy/tests/it/main.rs
+++ b/crates/policy/tests/it/main.rs
@@ -8,6 +8,7 @@
 mod concurrency;
 mod silence_detector;
 mod load_estimator;
+mod permits;
 mod placement;
 mod queue_bound;
 mod retry_delay;
