ownership: assign a server no more load than the rate that it has named

What callers saw: with an owner's limit kept, 56 and 24 of 146 requests for keys of two owners refused although the other had room. Fix: the capacity of a server whose fair load exceeds 0.7 of its rate becomes what makes that its fair load, the others share the rest; a single key that is more than its owner takes moves as well. Four tests of the planner: the limit is kept, the load returns with its end, a limit that does not bind moves nothing, all limited share in proportion.

--- a/crates/entry/src/assigner/planning.rs
+++ b/crates/entry/src/assigner/planning.rs
@@ -8,6 +8,10 @@
 /// Minimum time between writes that only mark moves as settled.
 const SETTLE_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Part of the rate that a server has named for which it is assigned keys; the rest is for the
+/// variation of their load.
+const LIMIT_SHARE: f64 = 0.7;
+
 impl<S: StateStore, F: ServerFormat> KeyAssigner<S, F> {
     /// Plans and writes the service's next record, if anything has changed.
     pub(super) async fn plan_service(
@@ -116,7 +120,10 @@
                 let capacity = f64::from(it.entry.slots) * speed;
                 let instance = it.instance();
                 let until = self.state.borrow_mut().unanswered_until(&instance, KeyRange::ALL, now);
-                ShardServer { instance, capacity, phase, is_fully_acked: until.is_none() }
+                let max_rate = asked.max_rate().map(|it| it * LIMIT_SHARE);
+                let max_load = max_rate.map(KeyLoad::of_rate);
+                let is_fully_acked = until.is_none();
+                ShardServer { instance, capacity, max_load, phase, is_fully_acked }
             })
             .collect()
     }
--- a/crates/ownership/src/key_load.rs
+++ b/crates/ownership/src/key_load.rs
@@ -46,6 +46,11 @@
         self.total = self.weights.values().sum();
     }
 
+    /// Load of requests that arrive at `rate` a second for long enough.
+    pub fn of_rate(rate: f64) -> f64 {
+        rate * HALF_LIFE.as_secs_f64() / std::f64::consts::LN_2
+    }
+
     /// Load of each key in addition to its weight.
     fn base_load(&self) -> f64 {
         (self.total * EVEN_SHARE + IDLE_LOAD) / f64::from(KeyRange::ALL.n_keys())
--- a/crates/ownership/src/shards.rs
+++ b/crates/ownership/src/shards.rs
@@ -220,6 +220,8 @@
     pub instance: ServerInstance,
     /// Relative capacity, in a unit common to all servers of the service.
     pub capacity: f64,
+    /// Most load that it takes, in the unit of [`KeyLoad`], if it has named a limit.
+    pub max_load: Option<f64>,
     /// Whether it may be assigned keys.
     pub phase: ServerPhase,
     /// Whether all its grants have been answered, so that its keys can be moved without waiting.
@@ -262,6 +264,8 @@
     if targets.is_empty() {
         return None;
     }
+    let limited = limit_capacity(&targets, load.in_range(KeyRange::ALL));
+    let targets: Vec<&ShardServer> = limited.iter().collect();
     let Some(record) = record else {
         return Some(initial_record(&targets));
     };
@@ -277,6 +281,48 @@
     servers.iter().filter(|it| it.phase == phase && it.capacity > 0.0).collect()
 }
 
+/// Least capacity of a limited server, as a fraction of its own, so that loads can be divided by it.
+const MIN_CAPACITY_SHARE: f64 = 0.001;
+
+/// Lowers the capacity of servers whose fair share of `total_load` exceeds the most that they take to
+/// what makes that their fair share, and drops limits that do not bind; the others share the rest.
+fn limit_capacity(targets: &[&ShardServer], total_load: f64) -> Vec<ShardServer> {
+    let mut limited: Vec<ShardServer> = targets.iter().map(|it| (*it).clone()).collect();
+    let mut is_limited = vec![false; targets.len()];
+    loop {
+        let (mut free_load, mut free_capacity) = (total_load, 0.0);
+        for (server, is_limited) in targets.iter().zip(&is_limited) {
+            match server.max_load.filter(|_| *is_limited) {
+                Some(max_load) => free_load -= max_load,
+                None => free_capacity += server.capacity,
+            }
+        }
+        let utilization = match free_capacity > 0.0 && free_load > 0.0 {
+            true => free_load / free_capacity,
+            // All have limits: each gets a share in proportion to its own.
+            false => 1.0,
+        };
+        let mut has_changed = false;
+        for (idx, server) in targets.iter().enumerate() {
+            let Some(max_load) = server.max_load else {
+                continue;
+            };
+            if is_limited[idx] || max_load < utilization * server.capacity {
+                has_changed |= !std::mem::replace(&mut is_limited[idx], true);
+                let min_capacity = server.capacity * MIN_CAPACITY_SHARE;
+                limited[idx].capacity = (max_load / utilization).max(min_capacity);
+            }
+        }
+        if !has_changed {
+            break;
+        }
+    }
+    for (server, is_limited) in limited.iter_mut().zip(is_limited) {
+        server.max_load = server.max_load.filter(|_| is_limited);
+    }
+    limited
+}
+
 /// Divides all keys in proportion to capacity, with one range per server.
 fn initial_record(targets: &[&ShardServer]) -> ShardRecord {
     let total: f64 = targets.iter().map(|it| it.capacity).sum();
--- a/crates/ownership/src/shards/draft.rs
+++ b/crates/ownership/src/shards/draft.rs
@@ -56,11 +56,18 @@
         self.assigned_load.get(&server.instance).copied().unwrap_or(0.0) / server.capacity
     }
 
+    /// The least utilized target, among those without a limit if there are any: what a limited one
+    /// may take is often less than the smallest piece.
     fn least_loaded(&self) -> &'a ShardServer {
         let by_utilization = |a: &&&ShardServer, b: &&&ShardServer| {
             self.utilization(a).total_cmp(&self.utilization(b))
         };
-        self.targets.iter().min_by(by_utilization).copied().unwrap_or(self.targets[0])
+        let unlimited = self.targets.iter().filter(|it| it.max_load.is_none());
+        unlimited
+            .min_by(by_utilization)
+            .or_else(|| self.targets.iter().min_by(by_utilization))
+            .copied()
+            .unwrap_or(self.targets[0])
     }
 
     /// Reassigns the keys of holders that are not listed in `servers`, leaving or dead, and the
@@ -161,13 +168,18 @@
         }
     }
 
-    /// For each holder of heavy keys, the heaviest of them, which it keeps.
+    /// For each holder of heavy keys, the heaviest of them, which it keeps unless the key alone is more
+    /// than it takes.
     fn pinned_keys(&self, fair: &FairLoad) -> BTreeMap<ServerInstance, HeavyKey> {
         let mut pinned: BTreeMap<ServerInstance, HeavyKey> = BTreeMap::new();
         for heavy in &fair.heavy_keys {
             let Some(entry) = self.record.entry(heavy.key) else {
                 continue;
             };
+            let holder = self.targets.iter().find(|it| it.instance.is_same(&entry.holder.instance));
+            if holder.and_then(|it| it.max_load).is_some_and(|it| it < heavy.load) {
+                continue;
+            }
             let heaviest = pinned.entry(entry.holder.instance.clone()).or_insert(*heavy);
             if heaviest.load < heavy.load {
                 *heaviest = *heavy;
--- a/crates/ownership/tests/it/shards.rs
+++ b/crates/ownership/tests/it/shards.rs
@@ -25,7 +25,13 @@
 }
 
 fn server(number: u64, phase: ServerPhase) -> ShardServer {
-    ShardServer { instance: instance(number, 1), capacity: 4.0, phase, is_fully_acked: true }
+    ShardServer {
+        instance: instance(number, 1),
+        capacity: 4.0,
+        max_load: None,
+        phase,
+        is_fully_acked: true,
+    }
 }
 
 fn serving(n_servers: u64) -> Vec<ShardServer> {
@@ -97,6 +103,78 @@
     assert!(moved.iter().all(|it| it.leaving[0].instance == instance(2, 1)));
 }
 
+/// Even load of 600 units over keys spread through the whole key space.
+fn spread_load() -> KeyLoad {
+    let mut load = KeyLoad::default();
+    (0..600_u32).for_each(|it| load.add((it * 109) as u16, 1));
+    load
+}
+
+/// Load of the keys that the server holds.
+fn held_load(record: &ShardRecord, number: u64, load: &KeyLoad) -> f64 {
+    let own = record.entries.iter().filter(|it| it.holder.instance == instance(number, 1));
+    own.map(|it| load.in_range(it.range)).sum()
+}
+
+/// Guards against keys that stay with a server that has no room for their load.
+#[test]
+fn a_server_that_names_a_limit_keeps_no_more_load_than_that() {
+    let mut servers = serving(4);
+    let load = spread_load();
+    let record = balanced(plan(None, &servers, &load).unwrap(), &servers, &load);
+    for max_load in [2.0, 40.0] {
+        servers[1].max_load = Some(max_load);
+        let limited = balanced(record.clone(), &servers, &load);
+        let held = held_load(&limited, 1, &load);
+        assert!(held <= max_load * 1.3, "{held} of {max_load}");
+        let others = [0, 2, 3].map(|it| held_load(&limited, it, &load));
+        let total = load.in_range(KeyRange::ALL);
+        assert!(others.iter().all(|it| *it < (total - held) / 3.0 * 1.4), "{others:?}");
+    }
+    servers[1].max_load = None;
+    let again = balanced(balanced(record, &servers, &load), &servers, &load);
+    assert!(peak_to_mean(&again, &load, 4) < 1.4, "the load returns with the limit's end");
+}
+
+#[test]
+fn a_limit_above_the_fair_load_moves_nothing() {
+    let mut servers = serving(4);
+    let load = spread_load();
+    let record = balanced(plan(None, &servers, &load).unwrap(), &servers, &load);
+    servers[1].max_load = Some(1_000.0);
+    assert_eq!(plan(Some(&record), &servers, &load), None);
+}
+
+#[test]
+fn servers_that_all_have_limits_share_in_proportion_to_them() {
+    let mut servers = serving(3);
+    let load = spread_load();
+    let record = plan(None, &servers, &load).unwrap();
+    for (server, max_load) in servers.iter_mut().zip([10.0, 10.0, 40.0]) {
+        server.max_load = Some(max_load);
+    }
+    let record = balanced(record, &servers, &load);
+    let total = load.in_range(KeyRange::ALL);
+    for (number, share) in [(0, 1.0 / 6.0), (1, 1.0 / 6.0), (2, 4.0 / 6.0)] {
+        let held = held_load(&record, number, &load) / total;
+        assert!((held / share - 1.0).abs() < 0.35, "server {number}: {held} of {share}");
+    }
+}
+
+/// A key that alone is more than its owner takes has to move, although it can't be divided.
+#[test]
+fn a_hot_key_leaves_an_owner_whose_limit_is_below_its_load() {
+    let mut servers = serving(4);
+    let mut load = spread_load();
+    load.add(30_000, 400);
+    let record = balanced(plan(None, &servers, &load).unwrap(), &servers, &load);
+    let owner = record.entry(30_000).unwrap().holder.instance.clone();
+    let limited = servers.iter_mut().find(|it| it.instance == owner).unwrap();
+    limited.max_load = Some(5.0);
+    let moved = balanced(record, &servers, &load);
+    assert_ne!(moved.entry(30_000).unwrap().holder.instance, owner);
+}
+
 #[test]
 fn a_dead_instance_is_not_waited_for() {
     let mut servers = serving(3);
