entry: use no connection again for an id that was refused on it

What callers can see: a booking that has run is reported as not run. A server refuses it, the caller asks again with the same id, the attempt is sent on the same kept connection, and a faulty server writes its earlier refusal once more in the place of the answer; the id is right. Seen in the test: 503 with one run. Attempts of one request never shared a connection; two requests of a caller that repeats its id did. Fix: a connection keeps the hashes of the ids refused on it, is excluded for them, and is closed at 64. Other forms of that report, tested and not possible: a copy at the next attempt or at another request (before), a refusal without an id (502, not sent again). An answer that stops in its head: 16 places, closed and reset, new and used connection, with an interim answer ahead: never a success, never sent twice. Test a_second_copy_of_a_refusal_is_not_taken_for_the_answer_to_a_repeated_id failed before and passes.

--- a/crates/entry/src/connections.rs
+++ b/crates/entry/src/connections.rs
@@ -14,7 +14,7 @@
 };
 
 use bytes::{Bytes, BytesMut};
-use http::{HeaderMap, Request, Response, StatusCode, header, response};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header, response};
 use http_body_util::{BodyExt, Full};
 use hyper::{
     body::Incoming,
@@ -22,8 +22,10 @@
 };
 use hyper_util::rt::TokioIo;
 use model::{MonoTime, StepError};
+use smallvec::SmallVec;
 use socket2::SockRef;
 use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::observed_stream::{ObservedStream, ReadObserver};
 
@@ -39,6 +41,9 @@
 /// Time before the peer's keep-alive timeout at which a connection is no longer reused.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(1_500);
 
+/// Number of refusals on a connection after which it is closed.
+const MAX_REFUSED_IDS: usize = 64;
+
 /// Largest head of an answer in bytes; interim answers count by themselves.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
@@ -152,6 +157,9 @@
     usable_until: Option<MonoTime>,
     /// When the last answer had arrived; `None` before the first.
     answered_at: Option<MonoTime>,
+    /// Hashes of the ids of requests that were refused on it, of which a second copy of the refusal may
+    /// still arrive.
+    refused_ids: SmallVec<[u64; 4]>,
 }
 
 impl Drop for HttpConnection {
@@ -195,7 +203,16 @@
             let _ = connection.await;
         });
         let number = ConnectionNumber::next();
-        Ok(Self { number, peer, sender, driver, meter, usable_until: None, answered_at: None })
+        Ok(Self {
+            number,
+            peer,
+            sender,
+            driver,
+            meter,
+            usable_until: None,
+            answered_at: None,
+            refused_ids: SmallVec::new(),
+        })
     }
 
     /// The connection's number.
@@ -208,6 +225,16 @@
         self.sender.is_ready() && self.usable_until.is_none_or(|it| now < it)
     }
 
+    /// Records that the server refused the request `id` on this connection.
+    pub fn note_refusal(&mut self, id: &HeaderValue) {
+        self.refused_ids.push(xxh3_64(id.as_bytes()));
+    }
+
+    /// Whether an answer on this connection could be a second copy of a refusal of the request `id`.
+    pub fn has_refused(&self, id: &HeaderValue) -> bool {
+        self.refused_ids.contains(&xxh3_64(id.as_bytes()))
+    }
+
     /// Sends one request and reads the complete answer; `now` is called when its head and when all
     /// of it has arrived.
     ///
@@ -321,23 +348,24 @@
 }
 
 impl ConnectionPool {
-    /// Takes the most recently used connection to `peer` that is still usable and not in
-    /// `excluded`.
+    /// Takes the most recently used connection to `peer` that is still usable and not excluded.
     pub fn take(
         &mut self,
         peer: SocketAddr,
-        excluded: &[ConnectionNumber],
+        is_excluded: impl Fn(&HttpConnection) -> bool,
         now: MonoTime,
     ) -> Option<HttpConnection> {
         let idle = self.idle.get_mut(&peer)?;
         idle.retain(|it| it.is_usable(now));
-        let idx = idle.iter().rposition(|it| !excluded.contains(&it.number))?;
+        let idx = idle.iter().rposition(|it| !is_excluded(it))?;
         Some(idle.remove(idx))
     }
 
-    /// Returns a connection to the pool, unless its peer is about to close it.
+    /// Returns a connection to the pool, unless its peer is about to close it or too many refusals are to
+    /// be remembered for it.
     pub fn put(&mut self, connection: HttpConnection, now: MonoTime) {
-        if connection.usable_until.is_some_and(|it| now < it) {
+        let is_open = connection.usable_until.is_some_and(|it| now < it);
+        if is_open && connection.refused_ids.len() < MAX_REFUSED_IDS {
             self.idle.entry(connection.peer).or_default().push(connection);
         }
     }
--- a/crates/entry/src/traffic/exchange.rs
+++ b/crates/entry/src/traffic/exchange.rs
@@ -92,9 +92,12 @@
         server: &CachedServer,
     ) -> Result<(HttpAnswer, HttpConnection), SendError> {
         let address = server.entry.address;
-        // A second copy of an earlier attempt's answer would carry the same id.
-        let pooled =
-            self.state.borrow_mut().pool.take(address, &request.connections, self.clock.now());
+        // A second copy of an earlier attempt's answer would carry the same id, also if the caller has
+        // used it before.
+        let is_excluded = |it: &HttpConnection| {
+            request.connections.contains(&it.number()) || it.has_refused(&request.id)
+        };
+        let pooled = self.state.borrow_mut().pool.take(address, is_excluded, self.clock.now());
         let mut is_fresh = pooled.is_none();
         let mut connection = match pooled {
             Some(it) => it,
@@ -152,7 +155,7 @@
         request: &RequestState,
         server: &CachedServer,
         answer: HttpAnswer,
-        connection: HttpConnection,
+        mut connection: HttpConnection,
         guard: &mut CallGuard<'_, F>,
         age: Duration,
     ) -> SendOutcome {
@@ -176,8 +179,11 @@
             self.server_reports.record_local(name, report, now);
         }
         self.note_backpressure(server, &answer, now);
-        self.state.borrow_mut().pool.put(connection, now);
         let is_not_run = answer.headers.contains_key(&names.not_run);
+        if is_not_run || answer.status == StatusCode::MISDIRECTED_REQUEST {
+            connection.note_refusal(&request.id);
+        }
+        self.state.borrow_mut().pool.put(connection, now);
         let has_signature = answer.headers.contains_key(&names.signature);
         let is_encoded = answer.headers.contains_key(header::CONTENT_ENCODING);
         match answer.status.as_u16() {
