entry: refuse what may outlast a stopping process before it is sent

What callers see: in a planned stop a request on an open connection is taken 0.7 s after SIGTERM (grace 3 s), passed on and cut off without an answer at the end of the grace, with one run at the server; it may not be repeated. Cause: the process ends 0.6 s before the grace whatever is open, and nothing compared a request's own time with what is left. Fix: from SIGTERM on a request whose deadline, with 0.3 s for its answer, lies beyond the end is refused at once as not run; another VM serves it. Requests from before the stop are served as before. Weighed: to refuse only what is expected to take longer; a request that may not run twice would be cut now and then.

--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -343,10 +343,11 @@
     stop_request.await?;
     info!(log, "stopping"; "open_requests" => traffic.n_open(),
         "connections" => *n_connections.borrow());
-    phase_sender.send_replace(ShutdownPhase::Draining);
-    stop_sender.send_replace(true);
     let requested_at = clock.now();
     let deadline = requested_at + settings.grace.saturating_sub(GRACE_MARGIN);
+    traffic.end_at(deadline);
+    phase_sender.send_replace(ShutdownPhase::Draining);
+    stop_sender.send_replace(true);
     sleep(BALANCER_DRAIN_TIME.min(settings.grace / 2)).await;
     phase_sender.send_replace(ShutdownPhase::Closing);
     while clock.now() < deadline && (traffic.n_open() > 0 || *n_connections.borrow() > 0) {
--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -7,7 +7,7 @@
 mod permits;
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::{BTreeSet, HashMap},
     net::SocketAddr,
     rc::Rc,
@@ -161,6 +161,8 @@
     backpressure: BackpressureCache,
     permit_keeper: SharedKeeper,
     permit_client: PermitClient,
+    /// When the process ends, once it is stopping.
+    ends_at: Cell<Option<MonoTime>>,
     state: RefCell<TrafficState>,
     log: Logger,
 }
@@ -188,6 +190,7 @@
             backpressure: parts.backpressure,
             permit_keeper: parts.permit_keeper,
             permit_client: PermitClient::default(),
+            ends_at: Cell::new(None),
             state: RefCell::new(state),
             log: parts.log,
         }
@@ -222,6 +225,11 @@
         self.settings.store(Arc::new(settings));
     }
 
+    /// Refuses from now on what may not be answered by `ends_at`, when the process ends.
+    pub fn end_at(&self, ends_at: MonoTime) {
+        self.ends_at.set(Some(ends_at));
+    }
+
     /// Number of requests in flight.
     pub fn n_open(&self) -> usize {
         self.state.borrow().n_open
@@ -281,7 +289,11 @@
                 .or_default() += 1;
         }
         self.count_first_send(&state);
-        let outcome = self.send_until_answered(&mut state, &request).await;
+        let may_outlast = |ends_at: MonoTime| state.deadline + FINISH_MARGIN > ends_at;
+        let outcome = match self.ends_at.get().is_some_and(may_outlast) {
+            true => Err(NotRunReason::Leaving),
+            false => self.send_until_answered(&mut state, &request).await,
+        };
         self.finish(&state, outcome)
     }
 
@@ -509,6 +521,9 @@
     headers.get(name)?.to_str().ok()?.parse().ok()
 }
 
+/// Time from a request's deadline until its answer has certainly been written.
+const FINISH_MARGIN: Duration = Duration::from_millis(300);
+
 /// Longest wait for a newer snapshot after a server answered that it does not own the key.
 const MISDIRECTED_WAIT: Duration = Duration::from_millis(150);
 
