entry: send to other VMs only what concerns them

Found by reading the change: once a server had asked one VM for a pause, each of its answers was sent to all VMs, with nothing in it. Now only limits, leaving and, for 5 s, the end of a limit are sent; the end is repeated, as a datagram may be lost. Test a_pause_and_a_limit_that_ended_long_ago_are_not_sent_to_other_vms failed before by construction (the audience was set for each answer).

--- a/crates/entry/src/backpressure.rs
+++ b/crates/entry/src/backpressure.rs
@@ -83,7 +83,11 @@
         }
         let mut state = known.map_or_else(BackpressureState::default, |it| it.state);
         let is_changed = state.note(signal, now);
-        servers.insert(server.clone(), CachedBackpressure { born, state, audience: Audience::All });
+        let audience = match state.concerns_all(now) {
+            true => Audience::All,
+            false => Audience::Nobody,
+        };
+        servers.insert(server.clone(), CachedBackpressure { born, state, audience });
         is_changed.then_some(state)
     }
 
--- a/crates/entry/tests/it/backpressure.rs
+++ b/crates/entry/tests/it/backpressure.rs
@@ -88,6 +88,20 @@
     assert_eq!((forwarded.domain.len(), forwarded.others.len()), (1, 0));
 }
 
+/// Guards against a message to all VMs with each answer of a server that once asked one VM for a pause.
+#[test]
+fn a_pause_and_a_limit_that_ended_long_ago_are_not_sent_to_other_vms() {
+    let cache = BackpressureCache::default();
+    let pause = BackpressureSignal { pause: Some(Duration::from_secs(1)), ..Default::default() };
+    cache.record_answer(&server(), 7, pause, at(10_000));
+    assert!(cache.take_outgoing(at(10_000)).domain.is_empty(), "it was asked of this VM only");
+    cache.record_answer(&server(), 7, limit(Some(2.0)), at(11_000));
+    for (now, is_sent) in [(12_000, true), (15_000, true), (17_000, false)] {
+        cache.record_answer(&server(), 7, limit(None), at(now));
+        assert_eq!(!cache.take_outgoing(at(now)).domain.is_empty(), is_sent, "{now}");
+    }
+}
+
 #[test]
 fn a_batch_of_many_servers_is_divided_without_loss() {
     let cache = BackpressureCache::default();
--- a/crates/policy/src/backpressure.rs
+++ b/crates/policy/src/backpressure.rs
@@ -18,12 +18,17 @@
     pub pause: Option<Duration>,
 }
 
+/// Time after a limit in which its end is sent to other routers again, as a message may be lost.
+const END_REPEAT_TIME: Duration = Duration::from_secs(5);
+
 /// Most recent requests of one instance of a server to its callers.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct BackpressureState {
     max_rate: Option<f64>,
     /// When the newest known answer was sent that did or did not name a rate.
     rated_at: MonoTime,
+    /// When an answer last named a rate.
+    limited_at: Option<MonoTime>,
     leaving_since: Option<MonoTime>,
     paused_until: MonoTime,
 }
@@ -49,6 +54,7 @@
         if at >= self.rated_at {
             self.max_rate = max_rate;
             self.rated_at = at;
+            self.limited_at = max_rate.map(|_| at).or(self.limited_at);
         }
     }
 
@@ -62,6 +68,14 @@
         self.max_rate
     }
 
+    /// Whether other routers have to know of it: the server is leaving, or has or had a limit of late.
+    pub fn concerns_all(&self, now: MonoTime) -> bool {
+        let is_recent = |it: MonoTime| now.since(it) < END_REPEAT_TIME;
+        self.leaving_since.is_some()
+            || self.max_rate.is_some()
+            || self.limited_at.is_some_and(is_recent)
+    }
+
     /// When the newest known answer was sent, whether or not it named a rate.
     pub fn rated_at(&self) -> MonoTime {
         self.rated_at
