entry: log the time of catch-up calls of the change stream

A catch-up call passed a duration of zero to note_call and note_failed_call, so that its log lines said took_ms=0 and change-call-slow never came. It passes the time that it took, as the other caller does.

--- a/crates/entry/src/state_sync.rs
+++ b/crates/entry/src/state_sync.rs
@@ -213,16 +213,18 @@
                 sleep(catch_up_age.saturating_sub(age).max(retry_delay)).await;
                 continue;
             }
+            let called_at = now;
             let res = self.ask_store(Duration::ZERO).await;
             let now = self.clock.now();
+            let took = now.since(called_at);
             let source = ChangeSource::Store;
             match res {
                 Ok(answer) => {
-                    self.note_call(&source, &answer, Duration::ZERO);
+                    self.note_call(&source, &answer, took);
                     self.apply_batch(answer, now);
                 }
                 Err(StoreError::Compacted) => self.is_complete_read_due.set(true),
-                Err(err) => self.note_failed_call(&source, &err, Duration::ZERO, now),
+                Err(err) => self.note_failed_call(&source, &err, took, now),
             }
         }
     }
