--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -1,10 +1,12 @@
 //! Handles a caller's request from its arrival to its single final answer: routing, server choice,
 //! retries, and the local answer when no server gave one.
 
+mod answers;
 mod choice;
 mod exchange;
 mod headers;
 mod permits;
+mod request;
 
 use std::{
     cell::{Cell, RefCell},
@@ -44,66 +46,15 @@
     stats::{INITIAL_SECONDS, ServerStats, ServiceStats},
 };
 
-/// Fraction of a request's time limit that it may spend waiting for its key to get an owner.
-const OWNER_WAIT_SHARE: f64 = 0.4;
-
 use choice::SendChoice;
 use exchange::SendOutcome;
 use headers::end_to_end_headers;
+use request::RequestState;
 
-/// A caller's request with its complete body.
-#[derive(Debug, Clone)]
-pub struct CallerRequest {
-    /// Method, forwarded unchanged.
-    pub method: Method,
-    /// Path and query as the caller sent them, forwarded unchanged.
-    pub uri: Uri,
-    /// Headers as the caller sent them, hop-by-hop headers included.
-    pub headers: HeaderMap,
-    /// Complete body, kept so that it can be sent again.
-    pub body: Bytes,
-    /// When the head of the request had arrived; the deadline counts from here.
-    pub arrived: MonoTime,
-}
-
-/// The final answer to a caller, from a server or from this process.
-pub type CallerAnswer = Response<Full<Bytes>>;
-
-/// A request in flight and its attempts so far.
-struct RequestState {
-    /// Value of the caller's request id header.
-    id: HeaderValue,
-    service: ServiceName,
-    route: Arc<PlanRoute>,
-    /// Shard key; set for keyed services only.
-    key: Option<u16>,
-    arrived: MonoTime,
-    deadline: MonoTime,
-    /// Servers that the choice for a shared service skips.
-    tried: SmallVec<[ServerName; 2]>,
-    n_sends: u32,
-    /// Connections that carried an attempt; no later attempt uses them.
-    connections: SmallVec<[ConnectionNumber; 2]>,
-    /// Server that the next attempt has a permit for.
-    permit: Option<ServerInstance>,
-    /// Until when the server that refused it takes nothing from this VM.
-    refused_until: MonoTime,
-    /// Last attempt that the server may have run, with its answer if there was one.
-    unknown_outcome: Option<(UnknownReason, Option<HttpAnswer>)>,
-}
-
-impl RequestState {
-    fn time_left(&self, now: MonoTime) -> Duration {
-        self.deadline.since(now)
-    }
+pub use request::{CallerAnswer, CallerRequest};
 
-    /// Whether the next attempt has a permit for the server.
-    fn has_permit(&self, server: &CachedServer) -> bool {
-        self.permit
-            .as_ref()
-            .is_some_and(|it| it.server == server.entry.name && it.born == server.entry.born)
-    }
-}
+/// Fraction of a request's time limit that it may spend waiting for its key to get an owner.
+const OWNER_WAIT_SHARE: f64 = 0.4;
 
 /// Mutable state of the traffic thread.
 struct TrafficState {
@@ -390,87 +341,6 @@
         state.service_stats.get_mut(&request.service).is_some_and(|it| it.budget.take())
     }
 
-    /// Counts and logs the outcome, and turns it into the caller's answer.
-    fn finish(
-        &self,
-        request: &RequestState,
-        outcome: Result<HttpAnswer, NotRunReason>,
-    ) -> CallerAnswer {
-        let now = self.clock.now();
-        let age = now.since(request.arrived);
-        let refusal = outcome.as_ref().err().copied().filter(|_| request.unknown_outcome.is_none());
-        let (outcome, label): (Result<HttpAnswer, StatusCode>, String) =
-            match (outcome, &request.unknown_outcome) {
-                (Ok(answer), _) => (Ok(answer), "answered".into()),
-                (Err(_), Some((reason, Some(answer)))) => (Ok(answer.clone()), reason.to_string()),
-                (Err(_), Some((reason @ UnknownReason::DeadlinePassed, None))) => {
-                    (Err(StatusCode::GATEWAY_TIMEOUT), reason.to_string())
-                }
-                (Err(_), Some((reason, None))) => {
-                    (Err(StatusCode::BAD_GATEWAY), reason.to_string())
-                }
-                (Err(reason), None) => (Err(StatusCode::SERVICE_UNAVAILABLE), reason.to_string()),
-            };
-        self.metrics.outcomes.with_label_values(&[&*request.route.name, label.as_str()]).inc();
-        self.metrics.latency.observe(age.as_secs_f64());
-        match outcome {
-            Ok(answer) => {
-                if answer.status.is_success()
-                    && let Some(stats) =
-                        self.state.borrow_mut().service_stats.get_mut(&request.service)
-                {
-                    stats.record_answer(age.as_secs_f64());
-                }
-                let mut response = Response::new(Full::new(answer.body));
-                *response.status_mut() = answer.status;
-                *response.headers_mut() = end_to_end_headers(&answer.headers);
-                response
-            }
-            Err(status) => {
-                info!(self.log, "request-failed"; "id" => request.id.to_str().unwrap_or("-"),
-                    "route" => &*request.route.name, "service" => %request.service,
-                    "status" => status.as_u16(), "cause" => &label, "key" => request.key,
-                    "n_sends" => request.n_sends, "age_ms" => age.as_millis() as u64,
-                    "plan" => self.channel.current().plan.as_ref().map_or(0, |it| it.version),
-                    "belief_age_ms" =>
-                        now.since(self.channel.current().synced_at).as_millis() as u64);
-                let mut response = self.local_answer(&request.id, status);
-                if let Some(reason) = refusal {
-                    let queue = match reason {
-                        NotRunReason::ServerPaused | NotRunReason::RateLimited => {
-                            request.refused_until.since(now)
-                        }
-                        _ => self.shortest_queue(request, now),
-                    };
-                    let after = retry_delay(reason, queue, request.time_left(now)).as_secs_f64();
-                    if let Ok(value) = format!("{after:.3}").parse() {
-                        response.headers_mut().insert(header::RETRY_AFTER, value);
-                    }
-                }
-                response
-            }
-        }
-    }
-
-    /// Refuses a request that has no route, service or key, or that came before the first plan.
-    fn refuse_unrouted(&self, id: &HeaderValue, status: StatusCode, cause: &str) -> CallerAnswer {
-        self.metrics.outcomes.with_label_values(&["-", cause]).inc();
-        let snapshot = self.channel.current();
-        info!(self.log, "request-refused"; "id" => id.to_str().unwrap_or("-"),
-            "status" => status.as_u16(), "cause" => cause,
-            "plan" => snapshot.plan.as_ref().map_or(0, |it| it.version),
-            "belief_age_ms" => self.clock.now().since(snapshot.synced_at).as_millis() as u64);
-        self.local_answer(id, status)
-    }
-
-    /// An empty answer of this process with the caller's request id.
-    fn local_answer(&self, id: &HeaderValue, status: StatusCode) -> CallerAnswer {
-        let mut response = Response::new(Full::new(Bytes::new()));
-        *response.status_mut() = status;
-        response.headers_mut().insert(self.format.headers().request_id.clone(), id.clone());
-        response
-    }
-
     /// Load of this router for the assigner; requests are counted since the last call.
     pub fn take_router_load(&self) -> RouterLoad {
         let snapshot = self.channel.current();
--- /dev/null
+++ b/crates/entry/src/traffic/request.rs
@@ -0,0 +1,57 @@
+//! A caller's request and what has been tried for it.
+
+use super::*;
+
+/// A caller's request with its complete body.
+#[derive(Debug, Clone)]
+pub struct CallerRequest {
+    /// Method, forwarded unchanged.
+    pub method: Method,
+    /// Path and query as the caller sent them, forwarded unchanged.
+    pub uri: Uri,
+    /// Headers as the caller sent them, hop-by-hop headers included.
+    pub headers: HeaderMap,
+    /// Complete body, kept so that it can be sent again.
+    pub body: Bytes,
+    /// When the head of the request had arrived; the deadline counts from here.
+    pub arrived: MonoTime,
+}
+
+/// The final answer to a caller, from a server or from this process.
+pub type CallerAnswer = Response<Full<Bytes>>;
+
+/// A request in flight and its attempts so far.
+pub(super) struct RequestState {
+    /// Value of the caller's request id header.
+    pub(super) id: HeaderValue,
+    pub(super) service: ServiceName,
+    pub(super) route: Arc<PlanRoute>,
+    /// Shard key; set for keyed services only.
+    pub(super) key: Option<u16>,
+    pub(super) arrived: MonoTime,
+    pub(super) deadline: MonoTime,
+    /// Servers that the choice for a shared service skips.
+    pub(super) tried: SmallVec<[ServerName; 2]>,
+    pub(super) n_sends: u32,
+    /// Connections that carried an attempt; no later attempt uses them.
+    pub(super) connections: SmallVec<[ConnectionNumber; 2]>,
+    /// Server that the next attempt has a permit for.
+    pub(super) permit: Option<ServerInstance>,
+    /// Until when the server that refused it takes nothing from this VM.
+    pub(super) refused_until: MonoTime,
+    /// Last attempt that the server may have run, with its answer if there was one.
+    pub(super) unknown_outcome: Option<(UnknownReason, Option<HttpAnswer>)>,
+}
+
+impl RequestState {
+    pub(super) fn time_left(&self, now: MonoTime) -> Duration {
+        self.deadline.since(now)
+    }
+
+    /// Whether the next attempt has a permit for the server.
+    pub(super) fn has_permit(&self, server: &CachedServer) -> bool {
+        self.permit
+            .as_ref()
+            .is_some_and(|it| it.server == server.entry.name && it.born == server.entry.born)
+    }
+}
