entry: name what is known of a server's backpressure by its role

Renames locals and test types (asked, news, told) and rewords comments after reading the change as a newcomer; no change of behaviour.

--- a/crates/entry/src/assigner/planning.rs
+++ b/crates/entry/src/assigner/planning.rs
@@ -109,9 +109,9 @@
                 let work = loads.work.get(&it.entry.name).copied().unwrap_or(mean_work);
                 let speed = if work > 0.0 { (mean_work / work).clamp(0.4, 2.0) } else { 1.0 };
                 let has_ended = self.state.borrow().ended.contains(&it.instance());
-                let asked = self.backpressure.state(&it.entry.name, it.entry.born);
+                let backpressure = self.backpressure.state(&it.entry.name, it.entry.born);
                 let phase = match () {
-                    () if asked.leaving_since().is_some() => ServerPhase::Leaving,
+                    () if backpressure.leaving_since().is_some() => ServerPhase::Leaving,
                     () if has_ended || it.draining_since.is_some() => ServerPhase::Leaving,
                     () if snapshot.is_evacuated(it) => ServerPhase::Leaving,
                     () if it.cold_until > now => ServerPhase::Cold,
@@ -120,7 +120,7 @@
                 let capacity = f64::from(it.entry.slots) * speed;
                 let instance = it.instance();
                 let until = self.state.borrow_mut().unanswered_until(&instance, KeyRange::ALL, now);
-                let max_rate = asked.max_rate().map(|it| it * LIMIT_SHARE);
+                let max_rate = backpressure.max_rate().map(|it| it * LIMIT_SHARE);
                 let max_load = max_rate.map(KeyLoad::of_rate);
                 let is_fully_acked = until.is_none();
                 ShardServer { instance, capacity, max_load, phase, is_fully_acked }
--- a/crates/entry/src/backpressure.rs
+++ b/crates/entry/src/backpressure.rs
@@ -2,7 +2,7 @@
 //! by all entry VMs.
 //!
 //! Load pattern: with many routers, each gets an answer of a server rarely, so most would learn only
-//! after many more requests what the server has already told others.
+//! after many more requests what the server's answers to others already say.
 
 use std::{
     collections::HashMap,
@@ -92,17 +92,17 @@
     }
 
     /// Takes in what another VM of `domain` has learned, where that is newer than what is known here.
-    /// News from the own failure domain are forwarded to all, those from others only within the domain.
+    /// Updates from the own failure domain are forwarded to all, those from others only within the domain.
     pub fn record_remote(
         &self,
-        news: &[ServerBackpressure],
+        updates: &[ServerBackpressure],
         domain: &DomainName,
         own_domain: &DomainName,
         now: MonoTime,
     ) {
         let audience = if domain == own_domain { Audience::All } else { Audience::Domain };
         let mut servers = self.lock();
-        for it in news {
+        for it in updates {
             let known = servers.get(&it.server).copied();
             // A server that was started again asks nothing of before.
             if known.is_some_and(|known| known.born > it.born) {
--- a/crates/entry/src/stats.rs
+++ b/crates/entry/src/stats.rs
@@ -19,7 +19,7 @@
     pub born: u64,
     /// Estimate of its load and speed.
     pub estimator: LoadEstimator,
-    /// Until when there is no permit for it, as its keeper has told.
+    /// Until when there is no permit for it, according to its keeper.
     pub next_permit_at: MonoTime,
     /// Set while the server is cold; `Some(None)` if this router has no part of its allowance, or
     /// the plan lacks its service.
--- a/crates/entry/src/traffic/choice.rs
+++ b/crates/entry/src/traffic/choice.rs
@@ -70,8 +70,8 @@
             return SendChoice::AwaitChange(NotRunReason::NoOwner);
         };
         let settings = self.settings.load();
-        let asked = self.backpressure_of(server);
-        if !server.is_usable_owner(settings.drain, now) || self.has_left(&asked, now) {
+        let backpressure = self.backpressure_of(server);
+        if !server.is_usable_owner(settings.drain, now) || self.has_left(&backpressure, now) {
             return SendChoice::AwaitChange(NotRunReason::NoOwner);
         }
         let evacuated_since = snapshot.evacuated.get(&server.entry.domain);
@@ -92,14 +92,14 @@
         if detector.is_avoided(now) {
             return SendChoice::Refuse(NotRunReason::NoOwner);
         }
-        let pause = asked.paused_until().since(now);
+        let pause = backpressure.paused_until().since(now);
         let max_wait = max_wait(&stats.estimator, request, mean_seconds, now);
-        let needs_permit = asked.max_rate().is_some() && !request.has_permit(server);
+        let needs_permit = backpressure.max_rate().is_some() && !request.has_permit(server);
         match is_queue_too_long(&stats.estimator, request, mean_seconds, now) {
             true => SendChoice::Refuse(NotRunReason::Overloaded),
             false if pause > max_wait => {
                 self.count_held_back("pause");
-                SendChoice::RefuseUntil(NotRunReason::ServerPaused, asked.paused_until())
+                SendChoice::RefuseUntil(NotRunReason::ServerPaused, backpressure.paused_until())
             }
             false if pause > Duration::ZERO => SendChoice::Wait(pause),
             false if needs_permit && stats.next_permit_at > now + max_wait => {
@@ -152,17 +152,17 @@
             if request.tried.contains(&server.entry.name) {
                 return None;
             }
-            let asked = self.backpressure_of(server);
-            if self.has_left(&asked, now) {
+            let backpressure = self.backpressure_of(server);
+            if self.has_left(&backpressure, now) {
                 return None;
             }
-            if asked.paused_until() > now {
+            if backpressure.paused_until() > now {
                 reason = NotRunReason::ServerPaused;
-                takes_at = takes_at.min(asked.paused_until());
+                takes_at = takes_at.min(backpressure.paused_until());
                 return None;
             }
             let stats = current_stats(server_stats, server);
-            let needs_permit = asked.max_rate().is_some() && !request.has_permit(server);
+            let needs_permit = backpressure.max_rate().is_some() && !request.has_permit(server);
             if needs_permit && stats.next_permit_at > now {
                 reason = NotRunReason::RateLimited;
                 takes_at = takes_at.min(stats.next_permit_at);
@@ -183,7 +183,7 @@
             let domain_penalty = if is_own_domain { 0.0 } else { CROSS_DOMAIN_PENALTY };
             let is_suspect = stats.estimator.is_paused(now)
                 || detector.is_avoided(now)
-                || asked.leaving_since().is_some();
+                || backpressure.leaving_since().is_some();
             let suspect_penalty = if is_suspect { SUSPECT_PENALTY } else { 0.0 };
             let jitter = 1.0 + COST_JITTER * rng.random::<f64>();
             Some(expected / objective * jitter + domain_penalty + suspect_penalty)
@@ -224,9 +224,9 @@
     }
 
     /// Whether the server has said so long ago that it is leaving that it must get nothing any more.
-    fn has_left(&self, asked: &BackpressureState, now: MonoTime) -> bool {
+    fn has_left(&self, backpressure: &BackpressureState, now: MonoTime) -> bool {
         let usable = usable_drain(self.settings.load().drain);
-        asked.leaving_since().is_some_and(|it| now.since(it) >= usable)
+        backpressure.leaving_since().is_some_and(|it| now.since(it) >= usable)
     }
 
     /// Applies the newest load report of a server, from this router or another, to its statistics
--- a/crates/entry/src/traffic/permits.rs
+++ b/crates/entry/src/traffic/permits.rs
@@ -38,24 +38,24 @@
     }
 
     async fn decide_permit(&self, server: &CachedServer, max_wait: Duration) -> PermitDecision {
-        let asked_at = self.clock.now();
-        let asked = self.backpressure_of(server);
-        let Some(max_rate) = asked.max_rate() else {
+        let called_at = self.clock.now();
+        let backpressure = self.backpressure_of(server);
+        let Some(max_rate) = backpressure.max_rate() else {
             return PermitDecision::Granted(Duration::ZERO);
         };
         let snapshot = self.channel.current();
         let ServerEntry { name, born, .. } = &*server.entry;
-        let (rank, vm, address) = match self.permit_source(server, &snapshot, asked_at) {
+        let (rank, vm, address) = match self.permit_source(server, &snapshot, called_at) {
             PermitSource::Own(rank) => {
                 let rate = rank.rate(max_rate, snapshot.vms.len());
                 let mut keeper = self.permit_keeper.lock();
-                return keeper.decide(name, *born, rank, rate, max_wait, asked_at);
+                return keeper.decide(name, *born, rank, rate, max_wait, called_at);
             }
             PermitSource::Peer(rank, vm, address) => (rank, vm, address),
         };
         let own = self.settings.load().reports;
-        let news = ServerBackpressure::new(name, *born, &asked, asked_at);
-        let decision = self.permit_client.call(address, own, news, rank, max_wait).await;
+        let update = ServerBackpressure::new(name, *born, &backpressure, called_at);
+        let decision = self.permit_client.call(address, own, update, rank, max_wait).await;
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
         match decision {
@@ -64,7 +64,7 @@
                 decision
             }
             None => {
-                state.keeper_health.note_silence(&vm, asked_at, now);
+                state.keeper_health.note_silence(&vm, called_at, now);
                 info!(self.log, "permit-call-failed"; "server" => %name, "keeper" => %vm,
                     "is_avoided" => state.keeper_health.is_avoided(&vm, now));
                 PermitDecision::Denied(max_wait + SILENCE_DELAY)
--- a/crates/entry/tests/it/backpressure.rs
+++ b/crates/entry/tests/it/backpressure.rs
@@ -24,8 +24,8 @@
 
 /// Sends what `from` has learned to `to`, which receives it `delay` later.
 fn transfer(from: &BackpressureCache, to: &BackpressureCache, now: MonoTime, delay: Duration) {
-    let news: Vec<ServerBackpressure> = from.take_outgoing(now).domain;
-    to.record_remote(&news, &domain("a"), &domain("a"), now + delay);
+    let updates: Vec<ServerBackpressure> = from.take_outgoing(now).domain;
+    to.record_remote(&updates, &domain("a"), &domain("a"), now + delay);
 }
 
 #[test]
@@ -77,10 +77,10 @@
     let (own, relay, other) =
         (BackpressureCache::default(), BackpressureCache::default(), BackpressureCache::default());
     own.record_answer(&server(), 7, limit(Some(2.0)), at(10_000));
-    let news = own.take_outgoing(at(10_000));
-    assert_eq!((news.domain.len(), news.others.len()), (1, 1));
+    let updates = own.take_outgoing(at(10_000));
+    assert_eq!((updates.domain.len(), updates.others.len()), (1, 1));
     assert!(own.take_outgoing(at(10_050)).domain.is_empty(), "sent once");
-    relay.record_remote(&news.others, &domain("a"), &domain("a"), at(10_000));
+    relay.record_remote(&updates.others, &domain("a"), &domain("a"), at(10_000));
     let forwarded = relay.take_outgoing(at(10_050));
     assert_eq!((forwarded.domain.len(), forwarded.others.len()), (1, 1));
     other.record_remote(&forwarded.others, &domain("a"), &domain("b"), at(10_050));
--- a/crates/policy/src/permits.rs
+++ b/crates/policy/src/permits.rs
@@ -139,8 +139,9 @@
     }
 }
 
-/// The two routers that keep the schedules of a server, of which `near` are in its failure domain: those
-/// by rendezvous order, near ones first, so that they agree with the server on who is cut off.
+/// The two routers that keep the schedules of a server, by rendezvous order, so that all routers choose the
+/// same. The flag of a router says whether it is in the server's failure domain: those go first, as a
+/// router that can reach the server can usually reach them.
 pub fn permit_keepers<'a>(
     server: &ServerName,
     routers: impl Iterator<Item = (&'a VmName, bool)>,
