entry: log each first grant of keys, and on what grounds an earlier holder counts as done

Two holders of a key could not be explained from the logs: a move said only 'hold-lapsed', and nothing where the list of servers shows another run, another server answers, or the release is answered. Now keys-granted (service, keys, server, its start, address, token, hold, time since the check of the lease, revision of the assigner's record, end) and keys-revoked (the same, proof, time left of the last known grant). Renewals stay unlogged, so the volume follows moves and new tokens. No logic changed.

--- a/crates/entry/src/assigner/order_executor.rs
+++ b/crates/entry/src/assigner/order_executor.rs
@@ -11,6 +11,20 @@
 /// Delay between attempts at an order.
 const ORDER_RETRY_DELAY: Duration = Duration::from_millis(200);
 
+/// Why a holder that must give up keys counts as holding them no longer.
+#[derive(Debug, Clone, Copy, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+enum RevokeProof {
+    /// The server has answered the release.
+    Released,
+    /// All grants of which the assigner knows have expired.
+    HoldLapsed,
+    /// Another server has answered at its address.
+    OtherServerAnswered,
+    /// The list of servers shows another run of the server.
+    OtherRunListed,
+}
+
 /// Sends the orders of one task; clones of the assigner's handles, for one service.
 pub(super) struct OrderExecutor<F> {
     pub(super) orders: OrderSender<F>,
@@ -43,7 +57,8 @@
         if !self.is_lease_held() || !self.state.borrow().is_current(&self.service, entry) {
             return None;
         }
-        let expires_at = hold_end(self.clock.now(), self.hold);
+        let checked_at = self.clock.now();
+        let expires_at = hold_end(checked_at, self.hold);
         let on_send = || {
             let mut state = self.state.borrow_mut();
             let grants_end_at = state.grants_end_at.entry(holder.instance.clone()).or_default();
@@ -53,8 +68,16 @@
             .orders
             .grant(&holder.instance, entry.range, holder.token, self.hold, handover, kind, on_send)
             .await;
-        let mut state = self.state.borrow_mut();
         let (range, token) = (entry.range, holder.token);
+        if kind == GrantKind::First {
+            info!(self.log, "keys-granted"; "service" => %self.service,
+                "first" => range.first, "last" => range.last, "server" => %holder.instance.server,
+                "born" => holder.instance.born, "address" => %holder.instance.address,
+                "token" => token, "hold_ms" => self.hold.as_millis() as u64,
+                "took_ms" => self.clock.now().since(checked_at).as_millis() as u64,
+                "lease_revision" => self.lease_revision(), "end" => ?res);
+        }
+        let mut state = self.state.borrow_mut();
         match res {
             OrderOutcome::Done(_) => {
                 state.acked.insert((self.service.clone(), range, token));
@@ -139,6 +162,7 @@
         let mut handover = None;
         for holder in &entry.leaving {
             if ended.iter().any(|it| it.is_same(&holder.instance)) {
+                self.log_revoked(entry.range, holder, RevokeProof::OtherRunListed);
                 continue;
             }
             // The token just below the new one is not assigned to anyone.
@@ -190,12 +214,13 @@
                 token = fence_token;
             }
             if self.state.borrow().ended.contains(instance) {
+                self.log_revoked(range, holder, RevokeProof::OtherServerAnswered);
                 return Some(None);
             }
             let grants_end_at =
                 self.state.borrow().grants_end_at.get(instance).copied().unwrap_or_default();
             if self.clock.now() >= grants_end_at {
-                info!(self.log, "hold-lapsed"; "server" => %instance.server, "token" => token);
+                self.log_revoked(range, holder, RevokeProof::HoldLapsed);
                 return Some(None);
             }
             // Waits for a grant in flight, so that the release does not overtake it.
@@ -211,6 +236,7 @@
                     if let Some(until) = until {
                         sleep(until.since(now)).await;
                     }
+                    self.log_revoked(range, holder, RevokeProof::Released);
                     return Some(handover);
                 }
                 OrderOutcome::Gone => _ = self.state.borrow_mut().ended.insert(instance.clone()),
@@ -224,4 +250,19 @@
             sleep(ORDER_RETRY_DELAY.min(grants_end_at.since(self.clock.now()))).await;
         }
     }
+
+    /// Logs on what grounds `holder` counts as holding `range` no longer.
+    fn log_revoked(&self, range: KeyRange, holder: &ShardHolder, proof: RevokeProof) {
+        let instance = &holder.instance;
+        let end = self.state.borrow().grants_end_at.get(instance).copied().unwrap_or_default();
+        info!(self.log, "keys-revoked"; "service" => %self.service,
+            "first" => range.first, "last" => range.last, "server" => %instance.server,
+            "born" => instance.born, "address" => %instance.address, "token" => holder.token,
+            "proof" => %proof, "hold_left_ms" => end.since(self.clock.now()).as_millis() as u64,
+            "lease_revision" => self.lease_revision());
+    }
+
+    fn lease_revision(&self) -> u64 {
+        self.state.borrow().lease.map_or(0, |it| it.revision)
+    }
 }
