entry: do not take a listed start time as proof that a holder has ended

Operators saw two servers hold the same keys. Cause: a holder whose server was listed with another start time counted as ended, so its keys moved with no release and no wait. That a run has ended is true in most cases, but the keys may be held all the same: (1) a server that starts again under its name and address is granted the keys in place of its earlier run, as long as the list doesn't show it (a cut from the store, a silent watch, a slow one); (2) a late write shows an earlier run again, and the living one counts as ended. Ruled out as a remedy: comparing start times (later ones only) mends neither (1) nor a clock that steps back between two runs. Now only the word of the holder's address (the release answered, or another server answering) or the end of its grants lets keys move. A server that has started again answers the release at once; one that has moved to another address without an answer at the old one costs the wait for its grants, as any silent server does.

--- a/crates/entry/src/assigner.rs
+++ b/crates/entry/src/assigner.rs
@@ -301,7 +301,7 @@
                         .or_default()
                         .push(entry.clone()),
                     false if now >= lease.may_move_at => {
-                        self.start_move(service, entry, snapshot, hold, now);
+                        self.start_move(service, entry, hold, now);
                     }
                     false => (),
                 }
@@ -352,7 +352,6 @@
         &mut self,
         service: &ServiceName,
         entry: &ShardEntry,
-        snapshot: &StateSnapshot,
         hold: Duration,
         now: MonoTime,
     ) {
@@ -370,17 +369,9 @@
         self.tasks.insert(task.clone(), now);
         let executor = self.order_executor(service, hold);
         let entry = entry.clone();
-        let ended: Vec<ServerInstance> = entry
-            .leaving
-            .iter()
-            .map(|it| it.instance.clone())
-            .filter(|it| {
-                snapshot.servers.get(&it.server).is_some_and(|server| server.entry.born != it.born)
-            })
-            .collect();
         let sender = self.events.0.clone();
         tokio::task::spawn_local(async move {
-            executor.hand_over(&entry, &ended).await;
+            executor.hand_over(&entry).await;
             let _ = sender.send(OrderEvent::Ended { task });
         });
     }
--- a/crates/entry/src/assigner/order_executor.rs
+++ b/crates/entry/src/assigner/order_executor.rs
@@ -21,8 +21,6 @@
     HoldLapsed,
     /// Another server has answered at its address.
     OtherServerAnswered,
-    /// The list of servers shows another run of the server.
-    OtherRunListed,
 }
 
 /// Sends the orders of one task; clones of the assigner's handles, for one service.
@@ -156,15 +154,14 @@
         }
     }
 
-    /// Moves the keys of `entry`: revokes them from each leaving holder that has not `ended`, then
-    /// grants them to the new holder.
-    pub(super) async fn hand_over(&self, entry: &ShardEntry, ended: &[ServerInstance]) {
+    /// Moves the keys of `entry`: revokes them from each leaving holder, then grants them to the new
+    /// one.
+    ///
+    /// A later run of the holder in the list of servers proves nothing. It may have been granted the
+    /// keys in place of the earlier run, and a late write can show an earlier run again.
+    pub(super) async fn hand_over(&self, entry: &ShardEntry) {
         let mut handover = None;
         for holder in &entry.leaving {
-            if ended.iter().any(|it| it.is_same(&holder.instance)) {
-                self.log_revoked(entry.range, holder, RevokeProof::OtherRunListed);
-                continue;
-            }
             // The token just below the new one is not assigned to anyone.
             let fence_token = entry.holder.token - 1;
             let Some(received) = self.revoke(entry.range, holder, fence_token).await else {
--- a/crates/entry/src/assigner/planning.rs
+++ b/crates/entry/src/assigner/planning.rs
@@ -30,7 +30,7 @@
         };
         let is_move_allowed = now >= lease.may_move_at || draft.is_none();
         let planned = match is_move_allowed {
-            true => self.plan(service, draft.as_ref(), &servers, snapshot, now),
+            true => self.plan(service, draft.as_ref(), &servers, now),
             false => None,
         };
         // Routers already use the settled keys; the record follows with the next change, or when
@@ -71,14 +71,10 @@
         service: &ServiceName,
         draft: Option<&ShardRecord>,
         servers: &[ShardServer],
-        snapshot: &StateSnapshot,
         now: MonoTime,
     ) -> Option<ShardRecord> {
         let state = self.state.clone();
-        let has_ended = |instance: &ServerInstance| {
-            snapshot.servers.get(&instance.server).is_some_and(|it| it.entry.born != instance.born)
-                || state.borrow().ended.contains(instance)
-        };
+        let has_ended = |instance: &ServerInstance| state.borrow().ended.contains(instance);
         let mut loads = self.loads.borrow_mut();
         let load = loads.keys.entry(service.clone()).or_default();
         load.decay(now);
