entry: wait for a predecessor's grants unless the server has acknowledged a newer one

Operators saw two servers hold the same keys. Cause: what a new assigner did not know of its predecessor's grants was bounded by the longest hold (10 s) only if it had never sent a grant to that server itself; its own grant replaced that bound by 4.7 s, also if the server never got it. A predecessor gives the longest holds just when it has lost the store, which is when it is replaced. The table of grants also starts empty under each lease, and a missing entry meant 'expired', so a move that was waiting when the lease was lost and won back ended its wait at once. Now the state of a lease starts with the time by which grants of earlier leases have certainly expired. It holds for each key until the server has acknowledged a grant under this lease, whose larger token replaces the earlier ones. That the task of the lost lease still runs is a fault of its own.

--- a/crates/entry/src/assigner.rs
+++ b/crates/entry/src/assigner.rs
@@ -360,12 +360,6 @@
         if is_acked || self.tasks.contains_key(&task) {
             return;
         }
-        // A predecessor may have sent grants of the longest hold time until its lease expired.
-        let latest_end = hold_end(now, self.settings.max_hold);
-        for holder in &entry.leaving {
-            let mut state = self.state.borrow_mut();
-            state.grants_end_at.entry(holder.instance.clone()).or_insert(latest_end);
-        }
         self.tasks.insert(task.clone(), now);
         let executor = self.order_executor(service, hold);
         let entry = entry.clone();
--- a/crates/entry/src/assigner/campaign.rs
+++ b/crates/entry/src/assigner/campaign.rs
@@ -71,6 +71,8 @@
                         renewed_at: requested_at,
                         may_move_at,
                     }),
+                    // A predecessor without the store gives the longest holds until its lease ends.
+                    earlier_grants_end_at: hold_end(may_move_at, self.settings.max_hold),
                     ..OrderState::default()
                 };
                 drop(state);
--- a/crates/entry/src/assigner/order_executor.rs
+++ b/crates/entry/src/assigner/order_executor.rs
@@ -214,9 +214,8 @@
                 self.log_revoked(range, holder, RevokeProof::OtherServerAnswered);
                 return Some(None);
             }
-            let grants_end_at =
-                self.state.borrow().grants_end_at.get(instance).copied().unwrap_or_default();
-            if self.clock.now() >= grants_end_at {
+            let hold_end = self.state.borrow().hold_end(&self.service, range, holder);
+            if self.clock.now() >= hold_end {
                 self.log_revoked(range, holder, RevokeProof::HoldLapsed);
                 return Some(None);
             }
@@ -224,7 +223,7 @@
             let lock = self.state.borrow_mut().grant_lock(instance);
             drop(lock.lock().await);
             // A silent server must not delay the end of this wait beyond that of its grants.
-            let max_wait = RELEASE_TIMEOUT.min(grants_end_at.since(self.clock.now()));
+            let max_wait = RELEASE_TIMEOUT.min(hold_end.since(self.clock.now()));
             match self.orders.release(instance, range, token, max_wait).await {
                 OrderOutcome::Done(handover) => {
                     let now = self.clock.now();
@@ -244,14 +243,14 @@
                 }
                 _ => (),
             }
-            sleep(ORDER_RETRY_DELAY.min(grants_end_at.since(self.clock.now()))).await;
+            sleep(ORDER_RETRY_DELAY.min(hold_end.since(self.clock.now()))).await;
         }
     }
 
     /// Logs on what grounds `holder` counts as holding `range` no longer.
     fn log_revoked(&self, range: KeyRange, holder: &ShardHolder, proof: RevokeProof) {
         let instance = &holder.instance;
-        let end = self.state.borrow().grants_end_at.get(instance).copied().unwrap_or_default();
+        let end = self.state.borrow().hold_end(&self.service, range, holder);
         info!(self.log, "keys-revoked"; "service" => %self.service,
             "first" => range.first, "last" => range.last, "server" => %instance.server,
             "born" => instance.born, "address" => %instance.address, "token" => holder.token,
--- a/crates/entry/src/assigner/order_state.rs
+++ b/crates/entry/src/assigner/order_state.rs
@@ -32,8 +32,10 @@
 #[derive(Debug, Default)]
 pub(super) struct OrderState {
     pub(super) lease: Option<HeldLease>,
-    /// Time by which all grants to a server have certainly expired.
+    /// Time by which all grants to a server that were sent under this lease have certainly expired.
     pub(super) grants_end_at: BTreeMap<ServerInstance, MonoTime>,
+    /// Time by which all grants that were sent under earlier leases have certainly expired.
+    pub(super) earlier_grants_end_at: MonoTime,
     /// Grants that their holders have acknowledged: service, keys and token.
     pub(super) acked: BTreeSet<(ServiceName, KeyRange, u64)>,
     /// Current shard records; a grant that they do not contain is not sent, except to fence off
@@ -81,6 +83,26 @@
         grants.iter().filter(|it| it.range.overlaps(range)).map(|it| it.until).max()
     }
 
+    /// Time by which `holder` has certainly lost `range`, unless it releases it before.
+    ///
+    /// An acknowledged grant replaces those of earlier leases, which had smaller tokens. One without
+    /// an answer may not have reached the server.
+    pub(super) fn hold_end(
+        &self,
+        service: &ServiceName,
+        range: KeyRange,
+        holder: &ShardHolder,
+    ) -> MonoTime {
+        let own_end = self.grants_end_at.get(&holder.instance).copied().unwrap_or_default();
+        let has_acked = self.acked.iter().any(|(acked_service, acked_range, token)| {
+            acked_service == service && *token == holder.token && acked_range.covers(range)
+        });
+        match has_acked {
+            true => own_end,
+            false => own_end.max(self.earlier_grants_end_at),
+        }
+    }
+
     /// Whether the current record assigns the entry's keys to its holder under the same token.
     pub(super) fn is_current(&self, service: &ServiceName, entry: &ShardEntry) -> bool {
         let Some(record) = self.records.get(service) else {
