entry: end the tasks of a lost lease with it

A task that was waiting (for a release, up to 3 s) when the lease was lost and won back found a valid lease and went on under it: it released, and could grant, in the time in which the new lease must not move keys, and its end could be taken for that of a task of the new lease. The state that tasks check was one for the process, only emptied. Now all that belongs to one lease is an AssignerTerm, replaced as a whole: tasks of an earlier one find their lease lost, and their events reach nobody.

--- a/crates/entry/src/assigner.rs
+++ b/crates/entry/src/assigner.rs
@@ -115,16 +115,7 @@
     cache: Rc<RefCell<StateCache>>,
     loads: SharedLoads,
     backpressure: BackpressureCache,
-    state: Rc<RefCell<OrderState>>,
-    /// Tasks in progress, with the time at which each was started.
-    tasks: BTreeMap<TaskKey, MonoTime>,
-    events: (mpsc::UnboundedSender<OrderEvent>, mpsc::UnboundedReceiver<OrderEvent>),
-    /// Grants acknowledged since the service's record was last written: service, keys and token.
-    granted: Vec<(ServiceName, KeyRange, u64)>,
-    /// Instances that can only be granted keys under a larger token, until the record is written.
-    token_requests: Vec<(ServiceName, ServerInstance)>,
-    /// When the last renewal of an instance's grants was started.
-    grants_renewed_at: BTreeMap<(ServiceName, ServerInstance), MonoTime>,
+    term: AssignerTerm,
     /// When keys of a service could last move to balance load.
     balanced_at: BTreeMap<ServiceName, MonoTime>,
     /// Since when the lease has been free to acquire, or when it was last tried.
@@ -139,9 +130,40 @@
     revisions: BTreeMap<ServiceName, u64>,
     /// When a shard record was last written.
     written_at: MonoTime,
+    log: Logger,
+}
+
+/// What an assigner knows and does under one lease. The next lease starts with a new one, so that
+/// tasks of the earlier lease find it lost, and their events reach nobody.
+#[derive(Debug)]
+struct AssignerTerm {
+    state: Rc<RefCell<OrderState>>,
+    /// Tasks in progress, with the time at which each was started.
+    tasks: BTreeMap<TaskKey, MonoTime>,
+    events: (mpsc::UnboundedSender<OrderEvent>, mpsc::UnboundedReceiver<OrderEvent>),
+    /// Grants acknowledged since the service's record was last written: service, keys and token.
+    granted: Vec<(ServiceName, KeyRange, u64)>,
+    /// Instances that can only be granted keys under a larger token, until the record is written.
+    token_requests: Vec<(ServiceName, ServerInstance)>,
+    /// When the last renewal of an instance's grants was started.
+    grants_renewed_at: BTreeMap<(ServiceName, ServerInstance), MonoTime>,
     /// Services whose settled holders have tokens issued under this lease, with its revision.
     fenced_services: BTreeMap<ServiceName, u64>,
-    log: Logger,
+}
+
+impl AssignerTerm {
+    /// Begins a term that knows no more than `state`.
+    fn new(state: OrderState) -> Self {
+        Self {
+            state: Rc::new(RefCell::new(state)),
+            tasks: BTreeMap::new(),
+            events: mpsc::unbounded_channel(),
+            granted: Vec::new(),
+            token_requests: Vec::new(),
+            grants_renewed_at: BTreeMap::new(),
+            fenced_services: BTreeMap::new(),
+        }
+    }
 }
 
 /// Dependencies of a [`KeyAssigner`].
@@ -181,12 +203,7 @@
             cache: parts.cache,
             loads: parts.loads,
             backpressure: parts.backpressure,
-            state: Rc::default(),
-            tasks: BTreeMap::new(),
-            events: mpsc::unbounded_channel(),
-            granted: Vec::new(),
-            token_requests: Vec::new(),
-            grants_renewed_at: BTreeMap::new(),
+            term: AssignerTerm::new(OrderState::default()),
             balanced_at: BTreeMap::new(),
             vacant_since: None,
             renewal_tried_at: MonoTime::default(),
@@ -194,7 +211,6 @@
             socket: None,
             revisions: BTreeMap::new(),
             written_at: MonoTime::default(),
-            fenced_services: BTreeMap::new(),
             log: parts.log,
         }
     }
@@ -205,7 +221,7 @@
             self.round().await;
             tokio::select! {
                 () = sleep(ROUND_INTERVAL) => (),
-                Some(event) = self.events.1.recv() => self.handle_order_event(event).await,
+                Some(event) = self.term.events.1.recv() => self.handle_order_event(event).await,
                 // The process ends when the sender is gone.
                 res = stop.changed() => if res.is_err() { break },
             }
@@ -214,7 +230,7 @@
     }
 
     fn lease(&self) -> Option<HeldLease> {
-        self.state.borrow().lease
+        self.term.state.borrow().lease
     }
 
     /// Campaigns if this process does not hold the lease; otherwise renews it, plans each keyed
@@ -237,7 +253,7 @@
         if !snapshot.assigner.as_ref().is_some_and(is_held) {
             return self.step_down("replaced");
         }
-        while let Ok(event) = self.events.1.try_recv() {
+        while let Ok(event) = self.term.events.1.try_recv() {
             self.handle_order_event(event).await;
         }
         // While the store does not answer, a new plan could not be written.
@@ -250,7 +266,7 @@
         if std::mem::replace(&mut self.is_store_stale, is_store_stale) != is_store_stale {
             info!(self.log, "hold-length-changed"; "is_longest" => is_store_stale);
             // Makes all renewals due, so that servers get the new hold time at once.
-            self.grants_renewed_at.clear();
+            self.term.grants_renewed_at.clear();
         }
         let snapshot = self.channel.current();
         self.send_orders(&snapshot, lease, now);
@@ -260,7 +276,7 @@
         match event {
             OrderEvent::Granted { service, range, token } => {
                 let revision = self.revisions.get(&service).copied().unwrap_or_default();
-                self.granted.push((service.clone(), range, token));
+                self.term.granted.push((service.clone(), range, token));
                 let acked = AckedRange { service, revision, range, token };
                 {
                     let mut cache = self.cache.borrow_mut();
@@ -270,10 +286,10 @@
                 self.send_to_routers(PeerDatagram::Acked(acked)).await;
             }
             OrderEvent::NeedsToken { service, instance } => {
-                self.token_requests.push((service, instance))
+                self.term.token_requests.push((service, instance))
             }
             OrderEvent::Ended { task } => {
-                self.tasks.remove(&task);
+                self.term.tasks.remove(&task);
             }
         }
     }
@@ -285,12 +301,12 @@
         } else {
             self.settings.max_hold.min(NORMAL_HOLD)
         };
-        self.state.borrow_mut().prune(now);
+        self.term.state.borrow_mut().prune(now);
         for (service, stored) in &snapshot.shards {
-            self.state.borrow_mut().records.insert(service.clone(), stored.record.clone());
+            self.term.state.borrow_mut().records.insert(service.clone(), stored.record.clone());
             self.revisions.insert(service.clone(), stored.revision);
             // No orders until the record has tokens that fence off the predecessor.
-            if !self.fenced_services.contains_key(service) {
+            if !self.term.fenced_services.contains_key(service) {
                 continue;
             }
             let mut settled: BTreeMap<ServerInstance, Vec<ShardEntry>> = BTreeMap::new();
@@ -325,21 +341,22 @@
         let task = TaskKey::Renewal(service.clone(), instance.clone());
         let key = (service.clone(), instance.clone());
         let is_new = {
-            let state = self.state.borrow();
+            let state = self.term.state.borrow();
             let is_acked = |it: &ShardEntry| {
                 state.acked.contains(&(service.clone(), it.range, it.holder.token))
             };
             !entries.iter().all(is_acked)
         };
         let interval = if is_new { RETRY_INTERVAL } else { RENEW_INTERVAL };
-        let is_due = self.grants_renewed_at.get(&key).is_none_or(|it| now.since(*it) >= interval);
-        if !is_due || self.tasks.contains_key(&task) {
+        let is_due =
+            self.term.grants_renewed_at.get(&key).is_none_or(|it| now.since(*it) >= interval);
+        if !is_due || self.term.tasks.contains_key(&task) {
             return;
         }
-        self.tasks.insert(task.clone(), now);
-        self.grants_renewed_at.insert(key, now);
+        self.term.tasks.insert(task.clone(), now);
+        self.term.grants_renewed_at.insert(key, now);
         let executor = self.order_executor(service, hold);
-        let sender = self.events.0.clone();
+        let sender = self.term.events.0.clone();
         tokio::task::spawn_local(async move {
             executor.renew(&instance, entries).await;
             let _ = sender.send(OrderEvent::Ended { task });
@@ -356,14 +373,15 @@
         now: MonoTime,
     ) {
         let task = TaskKey::Move(service.clone(), entry.range, entry.holder.token);
-        let is_acked = self.granted.iter().any(|it| it.2 == entry.holder.token && it.0 == *service);
-        if is_acked || self.tasks.contains_key(&task) {
+        let is_acked =
+            self.term.granted.iter().any(|it| it.2 == entry.holder.token && it.0 == *service);
+        if is_acked || self.term.tasks.contains_key(&task) {
             return;
         }
-        self.tasks.insert(task.clone(), now);
+        self.term.tasks.insert(task.clone(), now);
         let executor = self.order_executor(service, hold);
         let entry = entry.clone();
-        let sender = self.events.0.clone();
+        let sender = self.term.events.0.clone();
         tokio::task::spawn_local(async move {
             executor.hand_over(&entry).await;
             let _ = sender.send(OrderEvent::Ended { task });
@@ -373,9 +391,9 @@
     fn order_executor(&self, service: &ServiceName, hold: Duration) -> OrderExecutor<F> {
         OrderExecutor {
             orders: self.orders.clone(),
-            state: self.state.clone(),
+            state: self.term.state.clone(),
             clock: self.clock,
-            sender: self.events.0.clone(),
+            sender: self.term.events.0.clone(),
             service: service.clone(),
             hold,
             log: self.log.clone(),
--- a/crates/entry/src/assigner/campaign.rs
+++ b/crates/entry/src/assigner/campaign.rs
@@ -26,11 +26,10 @@
 
 impl<S: StateStore, F: ServerFormat> KeyAssigner<S, F> {
     pub(super) fn step_down(&mut self, cause: &'static str) {
-        if self.state.borrow_mut().lease.take().is_some() {
+        if self.term.state.borrow_mut().lease.take().is_some() {
             warn!(self.log, "assigner-lost"; "cause" => cause);
         }
         self.vacant_since = None;
-        self.fenced_services.clear();
     }
 
     /// Tries to acquire the lease when no other process holds it.
@@ -63,8 +62,7 @@
                 let may_move_at = self.clock.now() + wait;
                 info!(self.log, "assigner-acquired"; "revision" => revision,
                     "own-earlier-run" => is_own_earlier_run, "resigned" => has_resigned);
-                let mut state = self.state.borrow_mut();
-                *state = OrderState {
+                self.term = AssignerTerm::new(OrderState {
                     lease: Some(HeldLease {
                         lease,
                         revision,
@@ -74,13 +72,8 @@
                     // A predecessor without the store gives the longest holds until its lease ends.
                     earlier_grants_end_at: hold_end(may_move_at, self.settings.max_hold),
                     ..OrderState::default()
-                };
-                drop(state);
+                });
                 self.publish_own_record(revision);
-                self.granted.clear();
-                self.token_requests.clear();
-                self.grants_renewed_at.clear();
-                self.fenced_services.clear();
             }
             Err(StoreError::Conflict) => self.channel.request_refresh(),
             Err(err) => warn!(self.log, "campaign-failed"; "cause" => %err),
@@ -132,13 +125,13 @@
     pub(super) fn start_lease_renewal(&mut self, lease: HeldLease, now: MonoTime) {
         let is_due = now.since(lease.renewed_at) >= LEASE_INTERVAL
             && now.since(self.renewal_tried_at) >= LEASE_RETRY;
-        if !is_due || self.tasks.contains_key(&TaskKey::Lease) {
+        if !is_due || self.term.tasks.contains_key(&TaskKey::Lease) {
             return;
         }
         self.renewal_tried_at = now;
-        self.tasks.insert(TaskKey::Lease, now);
-        let (store, state, log) = (self.store.clone(), self.state.clone(), self.log.clone());
-        let sender = self.events.0.clone();
+        self.term.tasks.insert(TaskKey::Lease, now);
+        let (store, state, log) = (self.store.clone(), self.term.state.clone(), self.log.clone());
+        let sender = self.term.events.0.clone();
         tokio::task::spawn_local(async move {
             let res = store.renew_lease(lease.lease, RENEWAL_TIMEOUT).await;
             let mut state = state.borrow_mut();
@@ -158,7 +151,7 @@
     }
 
     pub(super) async fn resign(&mut self) {
-        let Some(lease) = self.state.borrow_mut().lease.take() else {
+        let Some(lease) = self.term.state.borrow_mut().lease.take() else {
             return;
         };
         let record = self.own_record(true);
--- a/crates/entry/src/assigner/planning.rs
+++ b/crates/entry/src/assigner/planning.rs
@@ -35,11 +35,11 @@
         };
         // Routers already use the settled keys; the record follows with the next change, or when
         // nothing has been written for `SETTLE_INTERVAL`.
-        let has_granted = self.granted.iter().any(|it| it.0 == *service)
+        let has_granted = self.term.granted.iter().any(|it| it.0 == *service)
             && now.since(self.written_at) >= SETTLE_INTERVAL;
         let draft = draft.filter(|_| has_new_tokens || has_granted);
         let Some(next) = planned.or(draft) else {
-            self.fenced_services.entry(service.clone()).or_insert(lease.revision);
+            self.term.fenced_services.entry(service.clone()).or_insert(lease.revision);
             return;
         };
         self.write(service, stored, next, lease).await;
@@ -47,16 +47,16 @@
 
     /// Applies finished moves and token requests to the draft; returns whether any token is new.
     pub(super) fn prepare_draft(&mut self, service: &ServiceName, draft: &mut ShardRecord) -> bool {
-        for (_, range, token) in self.granted.iter().filter(|it| it.0 == *service) {
+        for (_, range, token) in self.term.granted.iter().filter(|it| it.0 == *service) {
             draft.settle(*range, *token);
         }
         let mut instances: Vec<ServerInstance> = Vec::new();
-        if !self.fenced_services.contains_key(service) {
+        if !self.term.fenced_services.contains_key(service) {
             // First round under this lease: new tokens make servers reject the predecessor's.
             let settled = draft.entries.iter().filter(|it| it.is_settled());
             instances.extend(settled.map(|it| it.holder.instance.clone()));
         }
-        let requested = self.token_requests.iter().filter(|it| it.0 == *service);
+        let requested = self.term.token_requests.iter().filter(|it| it.0 == *service);
         instances.extend(requested.map(|it| it.1.clone()));
         instances.sort();
         instances.dedup();
@@ -73,7 +73,7 @@
         servers: &[ShardServer],
         now: MonoTime,
     ) -> Option<ShardRecord> {
-        let state = self.state.clone();
+        let state = self.term.state.clone();
         let has_ended = |instance: &ServerInstance| state.borrow().ended.contains(instance);
         let mut loads = self.loads.borrow_mut();
         let load = loads.keys.entry(service.clone()).or_default();
@@ -104,7 +104,7 @@
             .map(|it| {
                 let work = loads.work.get(&it.entry.name).copied().unwrap_or(mean_work);
                 let speed = if work > 0.0 { (mean_work / work).clamp(0.4, 2.0) } else { 1.0 };
-                let has_ended = self.state.borrow().ended.contains(&it.instance());
+                let has_ended = self.term.state.borrow().ended.contains(&it.instance());
                 let backpressure = self.backpressure.state(&it.entry.name, it.entry.born);
                 let phase = match () {
                     () if backpressure.leaving_since().is_some() => ServerPhase::Leaving,
@@ -115,7 +115,8 @@
                 };
                 let capacity = f64::from(it.entry.slots) * speed;
                 let instance = it.instance();
-                let until = self.state.borrow_mut().unanswered_until(&instance, KeyRange::ALL, now);
+                let until =
+                    self.term.state.borrow_mut().unanswered_until(&instance, KeyRange::ALL, now);
                 let max_rate = backpressure.max_rate().map(|it| it * LIMIT_SHARE);
                 let max_load = max_rate.map(KeyLoad::of_rate);
                 let is_fully_acked = until.is_none();
@@ -145,9 +146,9 @@
                     "moving" => next.entries.iter().filter(|it| !it.is_settled()).count());
                 self.written_at = self.clock.now();
                 self.revisions.insert(service.clone(), revision);
-                self.granted.retain(|it| it.0 != *service);
-                self.token_requests.retain(|it| it.0 != *service);
-                self.fenced_services.entry(service.clone()).or_insert(lease.revision);
+                self.term.granted.retain(|it| it.0 != *service);
+                self.term.token_requests.retain(|it| it.0 != *service);
+                self.term.fenced_services.entry(service.clone()).or_insert(lease.revision);
                 let old = self.cache.borrow().stored_shards(service);
                 if let Some(old) = old.filter(|it| it.revision == base) {
                     let delta = ShardDelta::between(&old.record, &next);
@@ -156,7 +157,7 @@
                     self.send_to_routers(PeerDatagram::Shards(update)).await;
                 }
                 let stored = StoredShards { revision, record: Arc::new(next) };
-                let mut state = self.state.borrow_mut();
+                let mut state = self.term.state.borrow_mut();
                 state.records.insert(service.clone(), stored.record.clone());
                 drop(state);
                 let mut cache = self.cache.borrow_mut();
