entry: end a move that the record no longer has

A move whose release had no answer was carried on after the plan had changed: the server that had been given its keys back got releases (which it must not refuse) and fencing grants of the old move, so callers were sent to a server that answered 421 until the next renewal; a fencing grant that waits behind another order may also come after the keys have gone to a third server, and the old holder takes them for 1 s. Only the last grant of a move asked the record. Now every order of a move asks it. The late fencing grant was found by reading and has no test of its own.

--- a/crates/entry/src/assigner/order_executor.rs
+++ b/crates/entry/src/assigner/order_executor.rs
@@ -35,10 +35,12 @@
 }
 
 impl<F: ServerFormat> OrderExecutor<F> {
-    /// Whether the assigner's lease is certainly still held, so that orders may be sent.
-    pub(super) fn is_lease_held(&self) -> bool {
+    /// Whether orders that `entry` requires may be sent: the lease is certainly still held, and the
+    /// current record has the entry.
+    fn may_order(&self, entry: &ShardEntry) -> bool {
         let now = self.clock.now();
-        self.state.borrow().lease.is_some_and(|it| it.is_valid(now))
+        let state = self.state.borrow();
+        state.lease.is_some_and(|it| it.is_valid(now)) && state.is_current(&self.service, entry)
     }
 
     /// Sends a grant; returns `None` without sending it if the lease is no longer valid or the
@@ -52,7 +54,7 @@
         let holder = &entry.holder;
         let lock = self.state.borrow_mut().grant_lock(&holder.instance);
         let _guard = lock.lock().await;
-        if !self.is_lease_held() || !self.state.borrow().is_current(&self.service, entry) {
+        if !self.may_order(entry) {
             return None;
         }
         let checked_at = self.clock.now();
@@ -99,13 +101,14 @@
     /// the server acknowledged.
     pub(super) async fn fence_unanswered_grants(
         &self,
-        range: KeyRange,
+        entry: &ShardEntry,
         instance: &ServerInstance,
         token: u64,
     ) -> bool {
+        let range = entry.range;
         let lock = self.state.borrow_mut().grant_lock(instance);
         let _guard = lock.lock().await;
-        if !self.is_lease_held() {
+        if !self.may_order(entry) {
             return false;
         }
         let until = hold_end(self.clock.now(), FENCE_HOLD);
@@ -164,7 +167,7 @@
         for holder in &entry.leaving {
             // The token just below the new one is not assigned to anyone.
             let fence_token = entry.holder.token - 1;
-            let Some(received) = self.revoke(entry.range, holder, fence_token).await else {
+            let Some(received) = self.revoke(entry, holder, fence_token).await else {
                 return;
             };
             handover = received.or(handover);
@@ -187,26 +190,27 @@
         let _ = self.sender.send(OrderEvent::Granted { service, range, token });
     }
 
-    /// Waits until `holder` has released `range`, its grants have expired, or its instance has
-    /// ended. `fence_token` fences off grants of the range that are still unanswered. Returns the
-    /// hand-over data of a release, or `None` if the lease was lost meanwhile.
+    /// Waits until `holder` has released the keys of `entry`, its grants have expired, or its
+    /// instance has ended. `fence_token` fences off grants of the keys that are still unanswered.
+    /// Returns the hand-over data of a release, or `None` if the lease was lost meanwhile or the
+    /// record no longer has the move.
     pub(super) async fn revoke(
         &self,
-        range: KeyRange,
+        entry: &ShardEntry,
         holder: &ShardHolder,
         fence_token: u64,
     ) -> Option<Option<String>> {
-        let instance = &holder.instance;
+        let (range, instance) = (entry.range, &holder.instance);
         let mut token = holder.token;
         let mut is_logged = false;
         loop {
-            if !self.is_lease_held() {
+            if !self.may_order(entry) {
                 return None;
             }
             let now = self.clock.now();
             if self.state.borrow_mut().unanswered_until(instance, range, now).is_some()
                 && token < fence_token
-                && self.fence_unanswered_grants(range, instance, fence_token).await
+                && self.fence_unanswered_grants(entry, instance, fence_token).await
             {
                 token = fence_token;
             }
