entry: check the lease once the connection for an order is open

An order was allowed, and the end of its hold computed, before its connection was opened, which may take 0.5 s and, on a VM that is frozen meanwhile, any time. It could leave after the lease had certainly ended, later than a thawed sender is excused for, and reach a server that its successor had waited for; the hold then ended later than the assigner assumed. Now the sender asks once a connection is open, and a grant's hold counts from there; an order that is no longer allowed is withdrawn. Fencing grants are recorded when they are sent too, and another server's answer to one ends the wait.

--- a/crates/entry/src/assigner/order_executor.rs
+++ b/crates/entry/src/assigner/order_executor.rs
@@ -35,12 +35,41 @@
 }
 
 impl<F: ServerFormat> OrderExecutor<F> {
-    /// Whether orders that `entry` requires may be sent: the lease is certainly still held, and the
-    /// current record has the entry.
     fn may_order(&self, entry: &ShardEntry) -> bool {
-        let now = self.clock.now();
-        let state = self.state.borrow();
-        state.lease.is_some_and(|it| it.is_valid(now)) && state.is_current(&self.service, entry)
+        self.state.borrow().may_order(&self.service, entry, self.clock.now())
+    }
+
+    /// Sends a grant that `entry` requires, unless it no longer may when a connection is open.
+    /// Records when the grant expires, and that it may still take effect if it is not answered.
+    async fn send_grant(
+        &self,
+        entry: &ShardEntry,
+        instance: &ServerInstance,
+        order: GrantOrder<'_>,
+    ) -> OrderOutcome {
+        let mut expires_at = MonoTime::default();
+        let may_send = |now: MonoTime| {
+            let mut state = self.state.borrow_mut();
+            let may_send = state.may_order(&self.service, entry, now);
+            if may_send {
+                expires_at = hold_end(now, order.hold);
+                state.record_sent(instance, expires_at);
+            }
+            may_send
+        };
+        let res = self.orders.grant(instance, order, may_send).await;
+        let GrantOrder { range, token, .. } = order;
+        let mut state = self.state.borrow_mut();
+        match res {
+            OrderOutcome::Done(_) => state.record_ack(instance, range, token),
+            OrderOutcome::Silent(_) => {
+                let grant = UnansweredGrant { range, token, until: expires_at };
+                state.record_unanswered(instance, grant);
+            }
+            OrderOutcome::Gone => _ = state.ended.insert(instance.clone()),
+            _ => (),
+        }
+        res
     }
 
     /// Sends a grant; returns `None` without sending it if the lease is no longer valid or the
@@ -51,48 +80,32 @@
         handover: Option<&str>,
         kind: GrantKind,
     ) -> Option<OrderOutcome> {
-        let holder = &entry.holder;
-        let lock = self.state.borrow_mut().grant_lock(&holder.instance);
+        let ShardHolder { instance, token } = &entry.holder;
+        let (range, token, hold) = (entry.range, *token, self.hold);
+        let lock = self.state.borrow_mut().grant_lock(instance);
         let _guard = lock.lock().await;
+        let started_at = self.clock.now();
         if !self.may_order(entry) {
             return None;
         }
-        let checked_at = self.clock.now();
-        let expires_at = hold_end(checked_at, self.hold);
-        let on_send = || {
-            let mut state = self.state.borrow_mut();
-            let grants_end_at = state.grants_end_at.entry(holder.instance.clone()).or_default();
-            *grants_end_at = (*grants_end_at).max(expires_at);
-        };
-        let res = self
-            .orders
-            .grant(&holder.instance, entry.range, holder.token, self.hold, handover, kind, on_send)
-            .await;
-        let (range, token) = (entry.range, holder.token);
+        let order = GrantOrder { range, token, hold, handover, kind };
+        let res = self.send_grant(entry, instance, order).await;
         if kind == GrantKind::First {
             info!(self.log, "keys-granted"; "service" => %self.service,
-                "first" => range.first, "last" => range.last, "server" => %holder.instance.server,
-                "born" => holder.instance.born, "address" => %holder.instance.address,
-                "token" => token, "hold_ms" => self.hold.as_millis() as u64,
-                "took_ms" => self.clock.now().since(checked_at).as_millis() as u64,
+                "first" => range.first, "last" => range.last, "server" => %instance.server,
+                "born" => instance.born, "address" => %instance.address, "token" => token,
+                "hold_ms" => hold.as_millis() as u64,
+                "took_ms" => self.clock.now().since(started_at).as_millis() as u64,
                 "lease_revision" => self.lease_revision(), "end" => ?res);
         }
-        let mut state = self.state.borrow_mut();
         match res {
+            OrderOutcome::Withdrawn => return None,
             OrderOutcome::Done(_) => {
-                state.acked.insert((self.service.clone(), range, token));
-                state.record_ack(&holder.instance, range, token);
+                let key = (self.service.clone(), range, token);
+                self.state.borrow_mut().acked.insert(key);
             }
-            OrderOutcome::Silent(_) => {
-                state.record_unanswered(
-                    &holder.instance,
-                    UnansweredGrant { range, token, until: expires_at },
-                );
-            }
-            OrderOutcome::Gone => _ = state.ended.insert(holder.instance.clone()),
             _ => (),
         }
-        drop(state);
         Some(res)
     }
 
@@ -105,28 +118,11 @@
         instance: &ServerInstance,
         token: u64,
     ) -> bool {
-        let range = entry.range;
         let lock = self.state.borrow_mut().grant_lock(instance);
         let _guard = lock.lock().await;
-        if !self.may_order(entry) {
-            return false;
-        }
-        let until = hold_end(self.clock.now(), FENCE_HOLD);
-        let res = self
-            .orders
-            .grant(instance, range, token, FENCE_HOLD, None, GrantKind::First, || ())
-            .await;
-        let mut state = self.state.borrow_mut();
-        match res {
-            OrderOutcome::Done(_) => state.record_ack(instance, range, token),
-            OrderOutcome::Silent(_) => {
-                state.record_unanswered(instance, UnansweredGrant { range, token, until });
-            }
-            _ => (),
-        }
-        let grants_end_at = state.grants_end_at.entry(instance.clone()).or_default();
-        *grants_end_at = (*grants_end_at).max(until);
-        drop(state);
+        let (range, kind) = (entry.range, GrantKind::First);
+        let order = GrantOrder { range, token, hold: FENCE_HOLD, handover: None, kind };
+        let res = self.send_grant(entry, instance, order).await;
         info!(self.log, "unanswered-grants-fenced"; "server" => %instance.server, "token" => token,
             "end" => ?res);
         matches!(res, OrderOutcome::Done(_))
@@ -228,7 +224,8 @@
             drop(lock.lock().await);
             // A silent server must not delay the end of this wait beyond that of its grants.
             let max_wait = RELEASE_TIMEOUT.min(hold_end.since(self.clock.now()));
-            match self.orders.release(instance, range, token, max_wait).await {
+            let may_send = |now| self.state.borrow().may_order(&self.service, entry, now);
+            match self.orders.release(instance, range, token, max_wait, may_send).await {
                 OrderOutcome::Done(handover) => {
                     let now = self.clock.now();
                     // An unanswered grant may still reach the server after the release.
--- a/crates/entry/src/assigner/order_state.rs
+++ b/crates/entry/src/assigner/order_state.rs
@@ -103,8 +103,29 @@
         }
     }
 
+    fn is_lease_held(&self, now: MonoTime) -> bool {
+        self.lease.is_some_and(|it| it.is_valid(now))
+    }
+
+    /// Whether orders that `entry` requires may be sent: the lease is certainly still held, and the
+    /// current record has the entry.
+    pub(super) fn may_order(
+        &self,
+        service: &ServiceName,
+        entry: &ShardEntry,
+        now: MonoTime,
+    ) -> bool {
+        self.is_lease_held(now) && self.is_current(service, entry)
+    }
+
+    /// Records that a grant to `instance` is sent which expires at `expires_at` at the latest.
+    pub(super) fn record_sent(&mut self, instance: &ServerInstance, expires_at: MonoTime) {
+        let grants_end_at = self.grants_end_at.entry(instance.clone()).or_default();
+        *grants_end_at = (*grants_end_at).max(expires_at);
+    }
+
     /// Whether the current record assigns the entry's keys to its holder under the same token.
-    pub(super) fn is_current(&self, service: &ServiceName, entry: &ShardEntry) -> bool {
+    fn is_current(&self, service: &ServiceName, entry: &ShardEntry) -> bool {
         let Some(record) = self.records.get(service) else {
             return false;
         };
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -44,6 +44,7 @@
 };
 pub use http_server::{ShutdownPhase, serve_callers};
 pub use metrics::EntryMetrics;
+pub use orders::{GrantKind, GrantOrder, OrderOutcome, OrderSender};
 pub use permits::{PermitClient, PermitReply, PermitRequest, SharedKeeper};
 pub use plan::{CallerLimits, PlanRoute, RoutePlan, RouteTarget, ServiceSettings};
 pub use ports::{
--- a/crates/entry/src/orders.rs
+++ b/crates/entry/src/orders.rs
@@ -29,6 +29,8 @@
     Silent(StepError),
     /// Not sent, because no connection could be opened or the open one had been closed before.
     NotSent(StepError),
+    /// Not sent, because it was no longer allowed once a connection was open.
+    Withdrawn,
     /// A renewal was not sent, because the connection on which this instance last answered is
     /// lost.
     LineLost,
@@ -67,6 +69,21 @@
     Renewal,
 }
 
+/// A grant of keys to one server.
+#[derive(Debug, Clone, Copy)]
+pub struct GrantOrder<'a> {
+    /// The keys.
+    pub range: KeyRange,
+    /// Fencing token.
+    pub token: u64,
+    /// Time for which the server may process requests for the keys, from the arrival of the order.
+    pub hold: Duration,
+    /// Hand-over data of the last holder.
+    pub handover: Option<&'a str>,
+    /// Whether the token is new to the server.
+    pub kind: GrantKind,
+}
+
 impl<F: ServerFormat> OrderSender<F> {
     /// Creates a sender without open connections, to which servers may answer with
     /// `max_answer_bytes` for each order.
@@ -74,44 +91,60 @@
         Self { format, clock, max_answer_bytes, connections: Rc::default() }
     }
 
-    /// Grants `range` to `instance`; calls `on_send` just before sending the order.
-    #[allow(clippy::too_many_arguments, reason = "each is one field of the order")]
+    /// Sends a grant to `instance` if `may_send` still allows it once a connection is open, which may
+    /// take as long as a connection attempt may.
     pub async fn grant(
         &self,
         instance: &ServerInstance,
-        range: KeyRange,
-        token: u64,
-        hold: Duration,
-        handover: Option<&str>,
-        kind: GrantKind,
-        on_send: impl FnOnce(),
+        order: GrantOrder<'_>,
+        may_send: impl FnOnce(MonoTime) -> bool,
     ) -> OrderOutcome {
         let pooled = self.connections.borrow_mut().remove(instance);
         let now = self.clock.now();
         let pooled = pooled.filter(|it| it.is_usable(now));
-        let connection = match (pooled, kind) {
-            (Some(it), _) => Ok(it),
+        let connection = match (pooled, order.kind) {
+            (Some(it), _) => it,
             (None, GrantKind::Renewal) => return OrderOutcome::LineLost,
-            (None, GrantKind::First) => {
-                HttpConnection::open(instance.address, self.max_answer_bytes).await
-            }
+            (None, GrantKind::First) => match self.open(instance).await {
+                Ok(it) => it,
+                Err(err) => return err.into(),
+            },
         };
+        if !may_send(self.clock.now()) {
+            return OrderOutcome::Withdrawn;
+        }
+        let GrantOrder { range, token, hold, handover, .. } = order;
         let request = self.request(instance, self.format.grant(range, token, hold, handover));
-        if connection.is_ok() {
-            on_send();
+        match self.exchange(connection, request, GRANT_TIMEOUT).await {
+            Ok((answer, connection)) => {
+                let is_closing =
+                    answer.headers.get(header::CONNECTION).is_some_and(|it| it == "close");
+                if !is_closing {
+                    self.connections.borrow_mut().insert(instance.clone(), connection);
+                }
+                self.outcome(instance, &answer)
+            }
+            Err(err) => err.into(),
         }
-        self.send(instance, connection, request, GRANT_TIMEOUT).await
     }
 
-    /// Revokes `range` from `instance`; the server answers when its requests in flight have ended.
+    /// Revokes `range` from `instance` if `may_send` still allows it once a connection is open; the
+    /// server answers when its requests in flight have ended.
     pub async fn release(
         &self,
         instance: &ServerInstance,
         range: KeyRange,
         token: u64,
         max_wait: Duration,
+        may_send: impl FnOnce(MonoTime) -> bool,
     ) -> OrderOutcome {
-        let connection = HttpConnection::open(instance.address, self.max_answer_bytes).await;
+        let connection = match self.open(instance).await {
+            Ok(it) => it,
+            Err(err) => return err.into(),
+        };
+        if !may_send(self.clock.now()) {
+            return OrderOutcome::Withdrawn;
+        }
         let request = self.request(instance, self.format.release(range, token));
         match self.exchange(connection, request, max_wait).await {
             Ok((answer, _)) => self.outcome(instance, &answer),
@@ -119,33 +152,16 @@
         }
     }
 
-    async fn send(
-        &self,
-        instance: &ServerInstance,
-        connection: Result<HttpConnection, ExchangeError>,
-        request: Request<Full<bytes::Bytes>>,
-        max_wait: Duration,
-    ) -> OrderOutcome {
-        match self.exchange(connection, request, max_wait).await {
-            Ok((answer, connection)) => {
-                let is_closing =
-                    answer.headers.get(header::CONNECTION).is_some_and(|it| it == "close");
-                if !is_closing {
-                    self.connections.borrow_mut().insert(instance.clone(), connection);
-                }
-                self.outcome(instance, &answer)
-            }
-            Err(err) => err.into(),
-        }
+    async fn open(&self, instance: &ServerInstance) -> Result<HttpConnection, ExchangeError> {
+        HttpConnection::open(instance.address, self.max_answer_bytes).await
     }
 
     async fn exchange(
         &self,
-        connection: Result<HttpConnection, ExchangeError>,
+        mut connection: HttpConnection,
         request: Request<Full<bytes::Bytes>>,
         max_wait: Duration,
     ) -> Result<(HttpAnswer, HttpConnection), ExchangeError> {
-        let mut connection = connection?;
         let clock = self.clock;
         let res = timeout(max_wait, connection.exchange(request, move || clock.now())).await;
         match res {
