entry: count a hold from when its grant can have arrived at the latest

A hold begins when the grant arrives, and the assigner counted it from when the grant was sent, with 0.4 s for its way. An order may be on its way for as long as its answer is awaited (0.6 s) before its connection is reset: the server then held keys for longer than the assigner assumed, by its slow clock at the latest. Where both servers run requests the rule tolerates no overlap. Now a grant that is being sent counts as arriving at the latest possible moment, an answered one as arrived by its answer, one without an answer by the reset of its connection, with 0.4 s for what has left this VM. Holds of earlier leases get the same. The keys of a silent server that had answered come back 0.4 s sooner.

--- a/crates/entry/src/assigner.rs
+++ b/crates/entry/src/assigner.rs
@@ -36,7 +36,9 @@
     AssignerRecord, BackpressureCache, EntrySettings, LeaseId, RecordChange, ServerFormat,
     SnapshotChannel, StateSnapshot, StateStore, StoreError, StoredAssigner, StoredShards,
     datagrams::{AckedRange, PeerDatagram, ShardUpdate, bind_socket, encode_datagrams},
-    orders::{GrantKind, GrantOrder, OrderOutcome, OrderSender, hold_end},
+    orders::{
+        GrantKind, GrantOrder, OrderOutcome, OrderSender, TRANSIT_MARGIN, hold_end, latest_arrival,
+    },
     state_cache::{ASSIGNER_RECORD, SHARDS_PREFIX, StateCache, encode_record},
 };
 
--- a/crates/entry/src/assigner/campaign.rs
+++ b/crates/entry/src/assigner/campaign.rs
@@ -70,7 +70,10 @@
                         may_move_at,
                     }),
                     // A predecessor without the store gives the longest holds until its lease ends.
-                    earlier_grants_end_at: hold_end(may_move_at, self.settings.max_hold),
+                    earlier_grants_end_at: hold_end(
+                        latest_arrival(may_move_at),
+                        self.settings.max_hold,
+                    ),
                     ..OrderState::default()
                 });
                 self.publish_own_record(revision);
--- a/crates/entry/src/assigner/order_executor.rs
+++ b/crates/entry/src/assigner/order_executor.rs
@@ -47,26 +47,31 @@
         instance: &ServerInstance,
         order: GrantOrder<'_>,
     ) -> OrderOutcome {
-        let mut expires_at = MonoTime::default();
         let may_send = |now: MonoTime| {
             let mut state = self.state.borrow_mut();
             let may_send = state.may_order(&self.service, entry, now);
             if may_send {
-                expires_at = hold_end(now, order.hold);
-                state.record_sent(instance, expires_at);
+                state.record_sent(instance, order.hold, now);
             }
             may_send
         };
         let res = self.orders.grant(instance, order, may_send).await;
-        let GrantOrder { range, token, .. } = order;
+        let GrantOrder { range, token, hold, .. } = order;
+        let now = self.clock.now();
+        let arrived_at = match &res {
+            OrderOutcome::NotSent(_) | OrderOutcome::LineLost | OrderOutcome::Withdrawn => None,
+            OrderOutcome::Silent(_) => Some(now + TRANSIT_MARGIN),
+            _ => Some(now),
+        };
         let mut state = self.state.borrow_mut();
-        match res {
-            OrderOutcome::Done(_) => state.record_ack(instance, range, token),
-            OrderOutcome::Silent(_) => {
-                let grant = UnansweredGrant { range, token, until: expires_at };
-                state.record_unanswered(instance, grant);
+        state.record_ended(instance, hold, arrived_at);
+        match (&res, arrived_at) {
+            (OrderOutcome::Done(_), _) => state.record_ack(instance, range, token),
+            (OrderOutcome::Silent(_), Some(arrived_at)) => {
+                let until = hold_end(arrived_at, hold);
+                state.record_unanswered(instance, UnansweredGrant { range, token, until });
             }
-            OrderOutcome::Gone => _ = state.ended.insert(instance.clone()),
+            (OrderOutcome::Gone, _) => _ = state.ended.insert(instance.clone()),
             _ => (),
         }
         res
--- a/crates/entry/src/assigner/order_state.rs
+++ b/crates/entry/src/assigner/order_state.rs
@@ -32,8 +32,11 @@
 #[derive(Debug, Default)]
 pub(super) struct OrderState {
     pub(super) lease: Option<HeldLease>,
-    /// Time by which all grants to a server that were sent under this lease have certainly expired.
+    /// Time by which the grants to a server have certainly expired whose answers have arrived under
+    /// this lease, or are no longer awaited.
     pub(super) grants_end_at: BTreeMap<ServerInstance, MonoTime>,
+    /// The same for the grant to a server whose answer is awaited.
+    pub(super) awaited_grants_end_at: BTreeMap<ServerInstance, MonoTime>,
     /// Time by which all grants that were sent under earlier leases have certainly expired.
     pub(super) earlier_grants_end_at: MonoTime,
     /// Grants that their holders have acknowledged: service, keys and token.
@@ -93,7 +96,10 @@
         range: KeyRange,
         holder: &ShardHolder,
     ) -> MonoTime {
-        let own_end = self.grants_end_at.get(&holder.instance).copied().unwrap_or_default();
+        let end_in = |grants: &BTreeMap<ServerInstance, MonoTime>| {
+            grants.get(&holder.instance).copied().unwrap_or_default()
+        };
+        let own_end = end_in(&self.grants_end_at).max(end_in(&self.awaited_grants_end_at));
         let has_acked = self.acked.iter().any(|(acked_service, acked_range, token)| {
             acked_service == service && *token == holder.token && acked_range.covers(range)
         });
@@ -118,10 +124,25 @@
         self.is_lease_held(now) && self.is_current(service, entry)
     }
 
-    /// Records that a grant to `instance` is sent which expires at `expires_at` at the latest.
-    pub(super) fn record_sent(&mut self, instance: &ServerInstance, expires_at: MonoTime) {
-        let grants_end_at = self.grants_end_at.entry(instance.clone()).or_default();
-        *grants_end_at = (*grants_end_at).max(expires_at);
+    /// Records that a grant to `instance` is sent.
+    pub(super) fn record_sent(&mut self, instance: &ServerInstance, hold: Duration, now: MonoTime) {
+        let ends_at = hold_end(latest_arrival(now), hold);
+        self.awaited_grants_end_at.insert(instance.clone(), ends_at);
+    }
+
+    /// Records that the answer to the grant to `instance` is no longer awaited, and that the grant has
+    /// arrived by `arrived_at`, if it was sent at all.
+    pub(super) fn record_ended(
+        &mut self,
+        instance: &ServerInstance,
+        hold: Duration,
+        arrived_at: Option<MonoTime>,
+    ) {
+        self.awaited_grants_end_at.remove(instance);
+        if let Some(arrived_at) = arrived_at {
+            let ends_at = self.grants_end_at.entry(instance.clone()).or_default();
+            *ends_at = (*ends_at).max(hold_end(arrived_at, hold));
+        }
     }
 
     /// Whether the current record assigns the entry's keys to its holder under the same token.
--- a/crates/entry/src/orders.rs
+++ b/crates/entry/src/orders.rs
@@ -208,13 +208,20 @@
     }
 }
 
-/// Time by which a grant sent at `sent_at` has certainly expired at a server with a slow clock.
-pub fn hold_end(sent_at: MonoTime, hold: Duration) -> MonoTime {
-    sent_at + hold.mul_f64(1.0 + MAX_CLOCK_DRIFT) + HOLD_MARGIN
+/// Time by which a grant that is sent at `sent_at` has arrived, or never will: its connection is reset
+/// when it is not answered in time.
+pub fn latest_arrival(sent_at: MonoTime) -> MonoTime {
+    sent_at + GRANT_TIMEOUT + TRANSIT_MARGIN
+}
+
+/// Time by which a hold that began at `arrived_at` or before has certainly expired at a server with a
+/// slow clock.
+pub fn hold_end(arrived_at: MonoTime, hold: Duration) -> MonoTime {
+    arrived_at + hold.mul_f64(1.0 + MAX_CLOCK_DRIFT)
 }
 
 /// Maximum clock drift of a server, as a fraction.
 const MAX_CLOCK_DRIFT: f64 = 0.02;
 
-/// Allowance for the delivery of the order and for scheduling delays.
-const HOLD_MARGIN: Duration = Duration::from_millis(400);
+/// Allowance for an order that has left this VM when its connection is reset.
+pub const TRANSIT_MARGIN: Duration = Duration::from_millis(400);
