entry: release keys only when no grant of an earlier lease can follow

A move that an assigner had begun was taken over by its successor with a release under the same token. A renewal that the predecessor had sent, and that was still on its way, was then accepted after the release, and the old holder kept the keys for as long as the grant said beside the new one. Only unanswered grants of the assigner's own lease were waited for. Now a lease also starts with the time by which grants of earlier leases have arrived or never will (a predecessor's lease and the timeout of a grant; after its end or resignation, the transit of data). An assigner that resigns waits for the answers to its grants first.

--- a/crates/entry/src/assigner/campaign.rs
+++ b/crates/entry/src/assigner/campaign.rs
@@ -1,6 +1,6 @@
 //! Acquires, renews and resigns the assigner's lease.
 
-use super::*;
+use super::{order_state::LEASE_VALIDITY, *};
 
 /// Duration of the assigner's lease in the store.
 pub(super) const LEASE_LENGTH: Duration = Duration::from_millis(2_000);
@@ -24,6 +24,10 @@
 /// the same moment.
 const MAX_STAGGERS: u32 = 40;
 
+/// Interval at which a process that resigns looks whether its grants have been answered, which takes
+/// no longer than the timeout of a grant.
+const AWAIT_INTERVAL: Duration = Duration::from_millis(10);
+
 impl<S: StateStore, F: ServerFormat> KeyAssigner<S, F> {
     pub(super) fn step_down(&mut self, cause: &'static str) {
         if self.term.state.borrow_mut().lease.take().is_some() {
@@ -58,8 +62,12 @@
         match self.acquire(snapshot).await {
             Ok((lease, revision, requested_at)) => {
                 let is_free = is_own_earlier_run || has_resigned;
-                let wait = if is_free { Duration::ZERO } else { PREDECESSOR_WAIT };
-                let may_move_at = self.clock.now() + wait;
+                let now = self.clock.now();
+                // A process that has ended or resigned waits for no answers any more.
+                let (may_move_at, earlier_grants_arrive_by) = match is_free {
+                    true => (now, now + TRANSIT_MARGIN),
+                    false => (now + PREDECESSOR_WAIT, latest_arrival(now + LEASE_VALIDITY)),
+                };
                 info!(self.log, "assigner-acquired"; "revision" => revision,
                     "own-earlier-run" => is_own_earlier_run, "resigned" => has_resigned);
                 self.term = AssignerTerm::new(OrderState {
@@ -69,9 +77,10 @@
                         renewed_at: requested_at,
                         may_move_at,
                     }),
+                    earlier_grants_arrive_by,
                     // A predecessor without the store gives the longest holds until its lease ends.
                     earlier_grants_end_at: hold_end(
-                        latest_arrival(may_move_at),
+                        earlier_grants_arrive_by,
                         self.settings.max_hold,
                     ),
                     ..OrderState::default()
@@ -157,6 +166,10 @@
         let Some(lease) = self.term.state.borrow_mut().lease.take() else {
             return;
         };
+        // Without the lease no order is sent any more.
+        while self.term.state.borrow().is_answer_awaited() {
+            sleep(AWAIT_INTERVAL).await;
+        }
         let record = self.own_record(true);
         let change = RecordChange {
             expected: vec![(ASSIGNER_RECORD.to_owned(), lease.revision)],
--- a/crates/entry/src/assigner/order_executor.rs
+++ b/crates/entry/src/assigner/order_executor.rs
@@ -224,6 +224,14 @@
                 self.log_revoked(range, holder, RevokeProof::HoldLapsed);
                 return Some(None);
             }
+            let now = self.clock.now();
+            let earlier_arrival =
+                self.state.borrow().earlier_arrival(&self.service, range, holder, now);
+            if let Some(at) = earlier_arrival {
+                // A release that a grant of an earlier lease followed would prove nothing.
+                sleep(at.since(now)).await;
+                continue;
+            }
             // Waits for a grant in flight, so that the release does not overtake it.
             let lock = self.state.borrow_mut().grant_lock(instance);
             drop(lock.lock().await);
--- a/crates/entry/src/assigner/order_state.rs
+++ b/crates/entry/src/assigner/order_state.rs
@@ -3,7 +3,7 @@
 use super::*;
 
 /// Time for which the lease is certainly held, counted from when its last renewal was sent.
-const LEASE_VALIDITY: Duration = Duration::from_millis(1_750);
+pub(super) const LEASE_VALIDITY: Duration = Duration::from_millis(1_750);
 
 const _: () = assert!(LEASE_VALIDITY.as_millis() < campaign::LEASE_LENGTH.as_millis());
 
@@ -37,7 +37,9 @@
     pub(super) grants_end_at: BTreeMap<ServerInstance, MonoTime>,
     /// The same for the grant to a server whose answer is awaited.
     pub(super) awaited_grants_end_at: BTreeMap<ServerInstance, MonoTime>,
-    /// Time by which all grants that were sent under earlier leases have certainly expired.
+    /// Time by which all grants that were sent under earlier leases have arrived, or never will.
+    pub(super) earlier_grants_arrive_by: MonoTime,
+    /// Time by which they have certainly expired.
     pub(super) earlier_grants_end_at: MonoTime,
     /// Grants that their holders have acknowledged: service, keys and token.
     pub(super) acked: BTreeSet<(ServiceName, KeyRange, u64)>,
@@ -86,6 +88,11 @@
         grants.iter().filter(|it| it.range.overlaps(range)).map(|it| it.until).max()
     }
 
+    /// Whether the answer to any grant is awaited.
+    pub(super) fn is_answer_awaited(&self) -> bool {
+        !self.awaited_grants_end_at.is_empty()
+    }
+
     /// Time by which `holder` has certainly lost `range`, unless it releases it before.
     ///
     /// An acknowledged grant replaces those of earlier leases, which had smaller tokens. One without
@@ -100,15 +107,32 @@
             grants.get(&holder.instance).copied().unwrap_or_default()
         };
         let own_end = end_in(&self.grants_end_at).max(end_in(&self.awaited_grants_end_at));
-        let has_acked = self.acked.iter().any(|(acked_service, acked_range, token)| {
-            acked_service == service && *token == holder.token && acked_range.covers(range)
-        });
-        match has_acked {
+        match self.has_acked(service, range, holder) {
             true => own_end,
             false => own_end.max(self.earlier_grants_end_at),
         }
     }
 
+    fn has_acked(&self, service: &ServiceName, range: KeyRange, holder: &ShardHolder) -> bool {
+        self.acked.iter().any(|(acked_service, acked_range, token)| {
+            acked_service == service && *token == holder.token && acked_range.covers(range)
+        })
+    }
+
+    /// Time by which no grant of an earlier lease can arrive any more that covers part of `range`, and
+    /// that `holder` does not reject; `None` if that is so at `now`.
+    pub(super) fn earlier_arrival(
+        &self,
+        service: &ServiceName,
+        range: KeyRange,
+        holder: &ShardHolder,
+        now: MonoTime,
+    ) -> Option<MonoTime> {
+        let may_arrive = now < self.earlier_grants_arrive_by;
+        (may_arrive && !self.has_acked(service, range, holder))
+            .then_some(self.earlier_grants_arrive_by)
+    }
+
     fn is_lease_held(&self, now: MonoTime) -> bool {
         self.lease.is_some_and(|it| it.is_valid(now))
     }
