entry: renew a token only on the connection on which it was acknowledged

A key must move to another run of a server with a larger token. Renewals were sent on any connection to the instance on which it had answered: after a restart under the same name, the first grant of another token opened a connection to the later run, and the renewals of all old tokens followed on it. Now a connection knows the tokens that were acknowledged on it; any other renewal needs a larger one.

--- a/crates/entry/src/orders.rs
+++ b/crates/entry/src/orders.rs
@@ -31,8 +31,8 @@
     NotSent(StepError),
     /// Not sent, because it was no longer allowed once a connection was open.
     Withdrawn,
-    /// A renewal was not sent, because the connection on which this instance last answered is
-    /// lost.
+    /// A renewal was not sent, because the connection on which this instance acknowledged the token
+    /// is lost.
     LineLost,
 }
 
@@ -49,15 +49,38 @@
 
 /// Sends orders; keeps one connection to each instance of a server.
 ///
-/// A grant that repeats a token is sent only on a connection on which that instance has answered
-/// before, because a server that restarted under the same name must not be granted an old token.
+/// A grant that repeats a token is sent only on the connection on which the instance has acknowledged
+/// that token, because a server that restarted under the same name must not be granted an old one.
 #[derive(Debug, Clone)]
 pub struct OrderSender<F> {
     format: F,
     clock: ProcessClock,
     /// Largest answer in bytes.
     max_answer_bytes: usize,
-    connections: Rc<RefCell<BTreeMap<ServerInstance, HttpConnection>>>,
+    connections: Rc<RefCell<BTreeMap<ServerInstance, OrderConnection>>>,
+}
+
+/// An open connection to one instance, which therefore still runs.
+#[derive(Debug)]
+struct OrderConnection {
+    connection: HttpConnection,
+    /// Tokens under which the instance has acknowledged grants on it; the oldest are dropped.
+    acked_tokens: Vec<u64>,
+}
+
+/// Most tokens that are kept for a connection.
+const MAX_ACKED_TOKENS: usize = 128;
+
+impl OrderConnection {
+    fn note_acked(&mut self, token: u64) {
+        if self.acked_tokens.contains(&token) {
+            return;
+        }
+        if self.acked_tokens.len() >= MAX_ACKED_TOKENS {
+            self.acked_tokens.remove(0);
+        }
+        self.acked_tokens.push(token);
+    }
 }
 
 /// Whether a grant repeats a token that the server has acknowledged.
@@ -99,33 +122,40 @@
         order: GrantOrder<'_>,
         may_send: impl FnOnce(MonoTime) -> bool,
     ) -> OrderOutcome {
-        let pooled = self.connections.borrow_mut().remove(instance);
+        let GrantOrder { range, token, hold, handover, kind } = order;
         let now = self.clock.now();
-        let pooled = pooled.filter(|it| it.is_usable(now));
-        let connection = match (pooled, order.kind) {
-            (Some(it), _) => it,
-            (None, GrantKind::Renewal) => return OrderOutcome::LineLost,
+        let pooled = self.connections.borrow_mut().remove(instance);
+        let pooled = pooled.filter(|it| it.connection.is_usable(now));
+        let mut line = match (pooled, kind) {
+            (Some(it), GrantKind::First) => it,
+            (Some(it), GrantKind::Renewal) if it.acked_tokens.contains(&token) => it,
+            (pooled, GrantKind::Renewal) => {
+                let mut connections = self.connections.borrow_mut();
+                connections.extend(pooled.map(|it| (instance.clone(), it)));
+                return OrderOutcome::LineLost;
+            }
             (None, GrantKind::First) => match self.open(instance).await {
-                Ok(it) => it,
+                Ok(connection) => OrderConnection { connection, acked_tokens: Vec::new() },
                 Err(err) => return err.into(),
             },
         };
         if !may_send(self.clock.now()) {
             return OrderOutcome::Withdrawn;
         }
-        let GrantOrder { range, token, hold, handover, .. } = order;
         let request = self.request(instance, self.format.grant(range, token, hold, handover));
-        match self.exchange(connection, request, GRANT_TIMEOUT).await {
-            Ok((answer, connection)) => {
-                let is_closing =
-                    answer.headers.get(header::CONNECTION).is_some_and(|it| it == "close");
-                if !is_closing {
-                    self.connections.borrow_mut().insert(instance.clone(), connection);
-                }
-                self.outcome(instance, &answer)
-            }
-            Err(err) => err.into(),
+        let answer = match self.exchange(&mut line.connection, request, GRANT_TIMEOUT).await {
+            Ok(it) => it,
+            Err(err) => return err.into(),
+        };
+        let outcome = self.outcome(instance, &answer);
+        if matches!(outcome, OrderOutcome::Done(_)) {
+            line.note_acked(token);
         }
+        let is_closing = answer.headers.get(header::CONNECTION).is_some_and(|it| it == "close");
+        if !is_closing {
+            self.connections.borrow_mut().insert(instance.clone(), line);
+        }
+        outcome
     }
 
     /// Revokes `range` from `instance` if `may_send` still allows it once a connection is open; the
@@ -138,7 +168,7 @@
         max_wait: Duration,
         may_send: impl FnOnce(MonoTime) -> bool,
     ) -> OrderOutcome {
-        let connection = match self.open(instance).await {
+        let mut connection = match self.open(instance).await {
             Ok(it) => it,
             Err(err) => return err.into(),
         };
@@ -146,8 +176,8 @@
             return OrderOutcome::Withdrawn;
         }
         let request = self.request(instance, self.format.release(range, token));
-        match self.exchange(connection, request, max_wait).await {
-            Ok((answer, _)) => self.outcome(instance, &answer),
+        match self.exchange(&mut connection, request, max_wait).await {
+            Ok(answer) => self.outcome(instance, &answer),
             Err(err) => err.into(),
         }
     }
@@ -158,16 +188,15 @@
 
     async fn exchange(
         &self,
-        mut connection: HttpConnection,
+        connection: &mut HttpConnection,
         request: Request<Full<bytes::Bytes>>,
         max_wait: Duration,
-    ) -> Result<(HttpAnswer, HttpConnection), ExchangeError> {
+    ) -> Result<HttpAnswer, ExchangeError> {
         let clock = self.clock;
         let res = timeout(max_wait, connection.exchange(request, move || clock.now())).await;
-        match res {
-            Ok(answer) => Ok((answer?, connection)),
-            Err(_) => Err(ExchangeError::Broken(StepError::new("order", "server", "no answer"))),
-        }
+        res.unwrap_or_else(|_| {
+            Err(ExchangeError::Broken(StepError::new("order", "server", "no answer")))
+        })
     }
 
     fn outcome(&self, instance: &ServerInstance, answer: &HttpAnswer) -> OrderOutcome {
