entry: repeat a grant without an answer under a larger token

A first grant that was not answered was sent again under the same token, also by the next assigner for keys that were moving. A run of the server that had accepted it may have ended meanwhile, and its next run then held keys under a token that an earlier one had. Now such a token is spent: settled keys of the server, or the moving ones, get a larger one with the next write of the record, and a new assigner renews the tokens of moves as it does those of settled keys. A store that is away delays the repetition.

--- a/crates/entry/src/assigner.rs
+++ b/crates/entry/src/assigner.rs
@@ -92,12 +92,21 @@
 enum OrderEvent {
     /// The new holder has acknowledged its grant.
     Granted { service: ServiceName, range: KeyRange, token: u64 },
-    /// The server can only be granted keys under a larger token.
-    NeedsToken { service: ServiceName, instance: ServerInstance },
+    /// Keys can only be granted under a larger token.
+    NeedsToken { service: ServiceName, keys: TokenRequest },
     /// The task has ended, whether or not it succeeded.
     Ended { task: TaskKey },
 }
 
+/// The keys that need a larger token.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum TokenRequest {
+    /// All settled keys of an instance.
+    Settled(ServerInstance),
+    /// The keys that move to the holder with this token.
+    Moving(u64),
+}
+
 /// Identifies an order task; at most one runs at a time for each key.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 enum TaskKey {
@@ -145,8 +154,8 @@
     events: (mpsc::UnboundedSender<OrderEvent>, mpsc::UnboundedReceiver<OrderEvent>),
     /// Grants acknowledged since the service's record was last written: service, keys and token.
     granted: Vec<(ServiceName, KeyRange, u64)>,
-    /// Instances that can only be granted keys under a larger token, until the record is written.
-    token_requests: Vec<(ServiceName, ServerInstance)>,
+    /// Keys that can only be granted under a larger token, until the record is written.
+    token_requests: Vec<(ServiceName, TokenRequest)>,
     /// When the last renewal of an instance's grants was started.
     grants_renewed_at: BTreeMap<(ServiceName, ServerInstance), MonoTime>,
     /// Services whose settled holders have tokens issued under this lease, with its revision.
@@ -287,8 +296,11 @@
                 }
                 self.send_to_routers(PeerDatagram::Acked(acked)).await;
             }
-            OrderEvent::NeedsToken { service, instance } => {
-                self.term.token_requests.push((service, instance))
+            OrderEvent::NeedsToken { service, keys } => {
+                let request = (service, keys);
+                if !self.term.token_requests.contains(&request) {
+                    self.term.token_requests.push(request);
+                }
             }
             OrderEvent::Ended { task } => {
                 self.term.tasks.remove(&task);
--- a/crates/entry/src/assigner/order_executor.rs
+++ b/crates/entry/src/assigner/order_executor.rs
@@ -93,6 +93,10 @@
         if !self.may_order(entry) {
             return None;
         }
+        let spent_token = (self.service.clone(), token);
+        if kind == GrantKind::First && self.state.borrow().spent_tokens.contains(&spent_token) {
+            return Some(OrderOutcome::LineLost);
+        }
         let order = GrantOrder { range, token, hold, handover, kind };
         let res = self.send_grant(entry, instance, order).await;
         if kind == GrantKind::First {
@@ -105,6 +109,9 @@
         }
         match res {
             OrderOutcome::Withdrawn => return None,
+            OrderOutcome::Silent(_) => {
+                self.state.borrow_mut().spent_tokens.insert(spent_token);
+            }
             OrderOutcome::Done(_) => {
                 let key = (self.service.clone(), range, token);
                 self.state.borrow_mut().acked.insert(key);
@@ -148,9 +155,8 @@
                     warn!(self.log, "grant-failed"; "server" => %instance.server,
                         "first" => entry.range.first, "last" => entry.range.last,
                         "token" => entry.holder.token, "end" => ?outcome);
-                    if matches!(outcome, OrderOutcome::LineLost | OrderOutcome::Superseded) {
-                        let (service, instance) = (self.service.clone(), instance.clone());
-                        let _ = self.sender.send(OrderEvent::NeedsToken { service, instance });
+                    if outcome.needs_token() {
+                        self.request_token(TokenRequest::Settled(instance.clone()));
                     }
                     return;
                 }
@@ -180,8 +186,8 @@
                 Some(outcome) => {
                     warn!(self.log, "move-grant-failed"; "server" => %entry.holder.instance.server,
                         "token" => entry.holder.token, "end" => ?outcome);
-                    if outcome == OrderOutcome::Superseded {
-                        return;
+                    if outcome.needs_token() {
+                        return self.request_token(TokenRequest::Moving(entry.holder.token));
                     }
                     sleep(ORDER_RETRY_DELAY).await;
                 }
@@ -191,6 +197,11 @@
         let _ = self.sender.send(OrderEvent::Granted { service, range, token });
     }
 
+    fn request_token(&self, keys: TokenRequest) {
+        let service = self.service.clone();
+        let _ = self.sender.send(OrderEvent::NeedsToken { service, keys });
+    }
+
     /// Waits until `holder` has released the keys of `entry`, its grants have expired, or its
     /// instance has ended. `fence_token` fences off grants of the keys that are still unanswered.
     /// Returns the hand-over data of a release, or `None` if the lease was lost meanwhile or the
--- a/crates/entry/src/assigner/order_state.rs
+++ b/crates/entry/src/assigner/order_state.rs
@@ -43,6 +43,9 @@
     pub(super) earlier_grants_end_at: MonoTime,
     /// Grants that their holders have acknowledged: service, keys and token.
     pub(super) acked: BTreeSet<(ServiceName, KeyRange, u64)>,
+    /// Tokens of grants without an answer: a run of the server that has ended since may have
+    /// accepted them, so that its next run must not get them.
+    pub(super) spent_tokens: BTreeSet<(ServiceName, u64)>,
     /// Current shard records; a grant that they do not contain is not sent, except to fence off
     /// earlier grants.
     pub(super) records: BTreeMap<ServiceName, Arc<ShardRecord>>,
@@ -181,17 +184,19 @@
         })
     }
 
-    /// Once there are [`MAX_KEPT_GRANTS`] acknowledged grants, drops those whose token no record
-    /// contains any more, expired unanswered grants and unused locks.
+    /// Once there are [`MAX_KEPT_GRANTS`] acknowledged grants or spent tokens, drops those whose token
+    /// no record contains any more, expired unanswered grants and unused locks.
     pub(super) fn prune(&mut self, now: MonoTime) {
-        if self.acked.len() < MAX_KEPT_GRANTS {
+        if self.acked.len().max(self.spent_tokens.len()) < MAX_KEPT_GRANTS {
             return;
         }
         let records = &self.records;
-        self.acked.retain(|(service, _, token)| {
+        let is_in_record = |service: &ServiceName, token: u64| {
             let mut entries = records.get(service).into_iter().flat_map(|it| &it.entries);
-            entries.any(|it| it.holder.token == *token)
-        });
+            entries.any(|it| it.holder.token == token)
+        };
+        self.acked.retain(|(service, _, token)| is_in_record(service, *token));
+        self.spent_tokens.retain(|(service, token)| is_in_record(service, *token));
         self.unanswered.retain(|_, grants| grants.iter().any(|it| it.until > now));
         self.grant_locks.retain(|_, lock| Rc::strong_count(lock) > 1);
     }
--- a/crates/entry/src/assigner/planning.rs
+++ b/crates/entry/src/assigner/planning.rs
@@ -47,23 +47,38 @@
 
     /// Applies finished moves and token requests to the draft; returns whether any token is new.
     pub(super) fn prepare_draft(&mut self, service: &ServiceName, draft: &mut ShardRecord) -> bool {
-        for (_, range, token) in self.term.granted.iter().filter(|it| it.0 == *service) {
+        let term = &self.term;
+        for (_, range, token) in term.granted.iter().filter(|it| it.0 == *service) {
             draft.settle(*range, *token);
         }
+        let is_first_round = !term.fenced_services.contains_key(service);
+        let is_requested = |keys: &TokenRequest| {
+            term.token_requests.iter().any(|it| it.0 == *service && it.1 == *keys)
+        };
+        // In the first round under this lease, new tokens make servers reject the predecessor's.
         let mut instances: Vec<ServerInstance> = Vec::new();
-        if !self.term.fenced_services.contains_key(service) {
-            // First round under this lease: new tokens make servers reject the predecessor's.
-            let settled = draft.entries.iter().filter(|it| it.is_settled());
-            instances.extend(settled.map(|it| it.holder.instance.clone()));
+        let mut moves: Vec<u64> = Vec::new();
+        for entry in &draft.entries {
+            let ShardHolder { instance, token } = &entry.holder;
+            let keys = match entry.is_settled() {
+                true => TokenRequest::Settled(instance.clone()),
+                false => TokenRequest::Moving(*token),
+            };
+            match keys {
+                _ if !is_first_round && !is_requested(&keys) => (),
+                TokenRequest::Settled(instance) => instances.push(instance),
+                TokenRequest::Moving(token) => moves.push(token),
+            }
         }
-        let requested = self.term.token_requests.iter().filter(|it| it.0 == *service);
-        instances.extend(requested.map(|it| it.1.clone()));
         instances.sort();
         instances.dedup();
         for instance in &instances {
             draft.renew_tokens(instance);
         }
-        !instances.is_empty()
+        for token in &moves {
+            draft.renew_move_token(*token);
+        }
+        !instances.is_empty() || !moves.is_empty()
     }
 
     pub(super) fn plan(
--- a/crates/entry/src/orders.rs
+++ b/crates/entry/src/orders.rs
@@ -36,6 +36,14 @@
     LineLost,
 }
 
+impl OrderOutcome {
+    /// Whether the grant must be repeated under a larger token: the server has seen a larger one, or
+    /// an earlier run of it may have accepted this one.
+    pub fn needs_token(&self) -> bool {
+        matches!(self, Self::Superseded | Self::Silent(_) | Self::LineLost)
+    }
+}
+
 impl From<ExchangeError> for OrderOutcome {
     fn from(err: ExchangeError) -> Self {
         match err {
--- a/crates/ownership/src/shards.rs
+++ b/crates/ownership/src/shards.rs
@@ -169,6 +169,19 @@
             }
         }
     }
+
+    /// Raises the token of the entry that moves to the holder with `token`; its grant must be sent
+    /// again. Returns whether there is one.
+    pub fn renew_move_token(&mut self, token: u64) -> bool {
+        let is_moving = |it: &&mut ShardEntry| !it.is_settled() && it.holder.token == token;
+        let Some(entry) = self.entries.iter_mut().find(is_moving) else {
+            return false;
+        };
+        // Leaves the token below it unused, as for every move.
+        entry.holder.token = self.next_token + 1;
+        self.next_token += 2;
+        true
+    }
 }
 
 /// The entries that one change of a record removes and adds.
--- a/crates/ownership/tests/it/shards.rs
+++ b/crates/ownership/tests/it/shards.rs
@@ -305,9 +305,17 @@
     Leave(u64),
     Return(u64),
     Restart(u64),
+    /// The list shows the server's earlier start again.
+    ShowEarlier(u64),
     Vanish(u64),
+    /// Another server answers at the server's address, whichever start of it held keys.
+    ReuseAddress(u64),
     AddLoad(u16),
     Settle,
+    /// Settled keys of the server need a larger token.
+    RenewTokens(u64),
+    /// The first keys that move need a larger token.
+    RenewMove,
 }
 
 fn change() -> impl Strategy<Value = ServerChange> {
@@ -315,9 +323,13 @@
         (0..6u64).prop_map(ServerChange::Leave),
         (0..6u64).prop_map(ServerChange::Return),
         (0..6u64).prop_map(ServerChange::Restart),
+        (0..6u64).prop_map(ServerChange::ShowEarlier),
         (0..6u64).prop_map(ServerChange::Vanish),
+        (0..6u64).prop_map(ServerChange::ReuseAddress),
         any::<u16>().prop_map(ServerChange::AddLoad),
         Just(ServerChange::Settle),
+        (0..6u64).prop_map(ServerChange::RenewTokens),
+        Just(ServerChange::RenewMove),
     ]
 }
 
@@ -356,7 +368,9 @@
         let mut servers = serving(6);
         let mut load = KeyLoad::default();
         let mut record = plan(None, &servers, &load).unwrap();
+        let mut ended: Vec<ServerInstance> = Vec::new();
         for change in changes {
+            let before = record.clone();
             match change {
                 ServerChange::Leave(it) => set_phase(&mut servers, it, ServerPhase::Leaving),
                 ServerChange::Return(it) => match servers.iter().any(|s| s.instance.server == instance(it, 1).server) {
@@ -367,14 +381,30 @@
                     let name = instance(it, 1).server;
                     servers.iter_mut().filter(|s| s.instance.server == name).for_each(|s| s.instance.born += 1);
                 }
+                ServerChange::ShowEarlier(it) => {
+                    let name = instance(it, 1).server;
+                    servers.iter_mut().filter(|s| s.instance.server == name).for_each(|s| s.instance.born = s.instance.born.saturating_sub(1));
+                }
                 ServerChange::Vanish(it) => servers.retain(|s| s.instance.server != instance(it, 1).server),
+                ServerChange::ReuseAddress(it) => {
+                    let name = instance(it, 1).server;
+                    servers.retain(|s| s.instance.server != name);
+                    let holders = record.entries.iter().flat_map(|it| it.leaving.iter().chain([&it.holder]));
+                    ended.extend(holders.map(|it| it.instance.clone()).filter(|it| it.server == name));
+                }
                 ServerChange::AddLoad(key) => load.add(key, 50),
                 ServerChange::Settle => settle_all(&mut record),
+                ServerChange::RenewTokens(it) => record.renew_tokens(&instance(it, 1)),
+                ServerChange::RenewMove => {
+                    let moving = record.entries.iter().find(|it| !it.is_settled());
+                    let token = moving.map(|it| it.holder.token);
+                    assert!(token.is_none_or(|it| record.renew_move_token(it)));
+                }
+            }
+            let is_dead = |it: &ServerInstance| ended.contains(it);
+            if !matches!(change, ServerChange::Settle) {
+                check_step(&before, &record, &is_dead);
             }
-            let instances: Vec<ServerInstance> = servers.iter().map(|it| it.instance.clone()).collect();
-            let is_dead = |it: &ServerInstance| {
-                instances.iter().any(|seen| seen.server == it.server && seen.born != it.born)
-            };
             let limits = ShardLimits::default();
             if let Some(next) = plan_shards(Some(&record), &servers, &is_dead, &load, limits) {
                 check_step(&record, &next, &is_dead);
