entry: send a fencing grant once for each token

The grant that fences off unanswered ones before a move was repeated under its token until it was answered, also to the next run of the server after one that may have taken it. Its token is now spent like that of any grant without an answer.

--- a/crates/entry/src/assigner/order_executor.rs
+++ b/crates/entry/src/assigner/order_executor.rs
@@ -39,14 +39,20 @@
         self.state.borrow().may_order(&self.service, entry, self.clock.now())
     }
 
-    /// Sends a grant that `entry` requires, unless it no longer may when a connection is open.
-    /// Records when the grant expires, and that it may still take effect if it is not answered.
+    /// Sends a grant that `entry` requires, unless its token is spent or it no longer may when a
+    /// connection is open. Records when the grant expires, and that it may still take effect if it is
+    /// not answered.
     async fn send_grant(
         &self,
         entry: &ShardEntry,
         instance: &ServerInstance,
         order: GrantOrder<'_>,
     ) -> OrderOutcome {
+        let spent_token = (self.service.clone(), order.token);
+        let is_first = order.kind == GrantKind::First;
+        if is_first && self.state.borrow().spent_tokens.contains(&spent_token) {
+            return OrderOutcome::LineLost;
+        }
         let may_send = |now: MonoTime| {
             let mut state = self.state.borrow_mut();
             let may_send = state.may_order(&self.service, entry, now);
@@ -70,6 +76,7 @@
             (OrderOutcome::Silent(_), Some(arrived_at)) => {
                 let until = hold_end(arrived_at, hold);
                 state.record_unanswered(instance, UnansweredGrant { range, token, until });
+                state.spent_tokens.insert(spent_token);
             }
             (OrderOutcome::Gone, _) => _ = state.ended.insert(instance.clone()),
             _ => (),
@@ -93,10 +100,6 @@
         if !self.may_order(entry) {
             return None;
         }
-        let spent_token = (self.service.clone(), token);
-        if kind == GrantKind::First && self.state.borrow().spent_tokens.contains(&spent_token) {
-            return Some(OrderOutcome::LineLost);
-        }
         let order = GrantOrder { range, token, hold, handover, kind };
         let res = self.send_grant(entry, instance, order).await;
         if kind == GrantKind::First {
@@ -109,9 +112,6 @@
         }
         match res {
             OrderOutcome::Withdrawn => return None,
-            OrderOutcome::Silent(_) => {
-                self.state.borrow_mut().spent_tokens.insert(spent_token);
-            }
             OrderOutcome::Done(_) => {
                 let key = (self.service.clone(), range, token);
                 self.state.borrow_mut().acked.insert(key);
--- a/crates/entry/src/assigner/order_state.rs
+++ b/crates/entry/src/assigner/order_state.rs
@@ -196,7 +196,10 @@
             entries.any(|it| it.holder.token == token)
         };
         self.acked.retain(|(service, _, token)| is_in_record(service, *token));
-        self.spent_tokens.retain(|(service, token)| is_in_record(service, *token));
+        // The token below that of a move is for fencing.
+        self.spent_tokens.retain(|(service, token)| {
+            is_in_record(service, *token) || is_in_record(service, token + 1)
+        });
         self.unanswered.retain(|_, grants| grants.iter().any(|it| it.until > now));
         self.grant_locks.retain(|_, lock| Rc::strong_count(lock) > 1);
     }
