ownership: ignore a refusal that is older than the server's newest answer

Cause: a refused connection ended all grants of its server, in whatever order the answers arrived. Requests overlap when a router reports a suspect or the grants change, so the refusal of a request to an earlier process could arrive after the next process had answered and taken the same slices. These then moved with no wait for its lease. Change: a refusal counts only if its request was sent no earlier than the newest answer arrived; a process that has really ended refuses the next request, at most 100 ms later.

--- a/crates/ownership/src/planner/grants.rs
+++ b/crates/ownership/src/planner/grants.rs
@@ -257,13 +257,14 @@
             ctx.witness.observe_term(*newer_term);
             return Some(PlannerRole::Following(FollowingState::new(ctx.now)));
         }
-        GrantOutcome::Refused => {
+        // A refusal of a request sent before the newest answer arrived may be of an earlier process.
+        GrantOutcome::Refused if entry.heard_at.is_none_or(|it| sent_at >= it) => {
             entry.mark_down(ServerState::Dead);
             entry.refused_at = entry.refused_at.max(Some(sent_at));
             entry.acked_version = 0;
             entry.basis = None;
         }
-        GrantOutcome::Rejected { .. } | GrantOutcome::Silent => (),
+        GrantOutcome::Rejected { .. } | GrantOutcome::Refused | GrantOutcome::Silent => (),
     }
     None
 }
--- a/crates/ownership/tests/it/main.rs
+++ b/crates/ownership/tests/it/main.rs
@@ -4,6 +4,7 @@
 
 mod delta;
 mod handover;
+mod hold_ends;
 mod inflight;
 mod invariants;
 mod placement;
