ownership: wait for a server's lease before requests go to its new address

Cause: the address is taken from the sheet at each request, and an answer was held to be about the server's grants wherever it came from. After a sheet with another address, a refusal there ended the grants of the process at the old one, and a process there was granted the same slices at once. Change: requests go to a new address only after the lease given at the old one has expired, unless that process has ended; answers from the old address no longer count then; for servers that do not check tokens, refusals of a server that has moved do not prove that its old requests have ended (their deadlines are waited for).

--- a/crates/ownership/src/planner/grants.rs
+++ b/crates/ownership/src/planner/grants.rs
@@ -1,6 +1,6 @@
 //! Grants and their leases for backend servers, and detection of servers that have failed.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use model::{FencingToken, MonoTime, OwnerCheck, ServerName, ServiceKind, SliceKey, Term};
 
@@ -32,6 +32,10 @@
     state: ServerState,
     check: OwnerCheck,
     added_at: MonoTime,
+    /// Address of the newest request, and since when requests go there.
+    address: Option<(SocketAddr, MonoTime)>,
+    /// Whether requests went to another address before.
+    has_moved: bool,
     /// When it last answered.
     heard_at: Option<MonoTime>,
     /// When it became alive, for the first time or again.
@@ -67,6 +71,8 @@
             state: ServerState::Unknown,
             check,
             added_at: now,
+            address: None,
+            has_moved: false,
             heard_at: None,
             alive_since: now,
             has_been_down: false,
@@ -112,9 +118,10 @@
         self.servers.get(server).map_or(ServerState::Unknown, |it| it.state)
     }
 
-    /// Whether the server's host refused a request sent after `time`.
+    /// Whether the server's host refused a request sent after `time`. Proves nothing of a server that
+    /// has moved, since its process at the earlier address may still run.
     pub(super) fn has_refused_after(&self, server: &ServerName, time: MonoTime) -> bool {
-        let entry = self.servers.get(server);
+        let entry = self.servers.get(server).filter(|it| !it.has_moved);
         entry.and_then(|it| it.refused_at).is_some_and(|it| it > time)
     }
 
@@ -236,6 +243,10 @@
     ctx: &mut PlannerContext<'_>,
 ) -> NextRole {
     let entry = state.servers.get_mut(server)?;
+    if entry.address.is_none_or(|(_, since)| sent_at < since) {
+        // The answer is from the earlier address.
+        return None;
+    }
     if entry.sent_at == Some(sent_at) {
         entry.sent_at = None;
     }
@@ -277,6 +288,25 @@
             self.alive_since = now;
         }
     }
+
+    /// Has requests go to `address`, and returns whether they may. A process at an earlier address may
+    /// hold its grants until its lease has expired, and no answer from the new one tells of it.
+    fn adopt_address(&mut self, address: SocketAddr, margin: Duration, now: MonoTime) -> bool {
+        match self.address {
+            Some((current, _)) if current == address => return true,
+            Some(_) if self.state != ServerState::Dead && now < self.lease_end + margin => {
+                return false;
+            }
+            Some(_) => {
+                self.has_moved = true;
+                self.basis = None;
+                self.acked_version = 0;
+            }
+            None => (),
+        }
+        self.address = Some((address, now));
+        true
+    }
 }
 
 /// Sends the grant requests and probes that are due, and detects silent servers.
@@ -295,6 +325,9 @@
         let Some(address) = address.filter(|_| !is_waiting && ctx.now >= entry.due_at) else {
             continue;
         };
+        if !entry.adopt_address(address, timing.drift_margin, ctx.now) {
+            continue;
+        }
         let sent_at = ctx.now;
         entry.sent_at = Some(sent_at);
         entry.due_at = ctx.now + timing.grant_renewal;
--- a/crates/ownership/tests/it/hold_ends.rs
+++ b/crates/ownership/tests/it/hold_ends.rs
@@ -5,7 +5,9 @@
 
 use std::time::Duration;
 
-use self::driver::{PlannerDriver, address, server};
+use ownership::PlannerEvent;
+
+use self::driver::{PlannerDriver, address, server, sheet};
 
 /// A refusal arrives after the server's next process has answered and taken grants, and then nothing
 /// reaches that process any more.
@@ -24,3 +26,23 @@
     driver.run(Duration::from_secs(2));
     assert_eq!(driver.violations.first(), None);
 }
+
+/// A sheet gives a server an address at which nothing listens yet, while its process goes on elsewhere.
+#[test]
+fn a_refusal_at_a_new_address_does_not_end_the_grants_at_the_old_one() {
+    let mut driver = PlannerDriver::serving(2);
+    driver.handle(PlannerEvent::SheetLearned(sheet(2, 1, &[address(7), address(1)])));
+    driver.run(Duration::from_secs(2));
+    assert_eq!(driver.violations.first(), None);
+}
+
+/// A sheet replaces a server's process by one at another address, and both run for a while.
+#[test]
+fn a_process_at_a_new_address_gets_grants_only_after_those_at_the_old_one_have_ended() {
+    let mut driver = PlannerDriver::serving(2);
+    driver.start_server(address(7));
+    driver.handle(PlannerEvent::SheetLearned(sheet(2, 1, &[address(7), address(1)])));
+    driver.run(Duration::from_secs(3));
+    assert_eq!(driver.violations.first(), None);
+    assert!(driver.servers[&address(7)].holds_at(driver.now).next().is_some());
+}
