ownership: never act twice in one term

Cause: a candidate takes the term after all that its VM's witness has promised. A VM that is no witness (restarted, or beyond the five) promises nothing to itself; after it had acted in term 2 and lost its witnesses, and while it knew only the record from before, it was elected in term 2 again. Its second map could have the stamp and tokens of an uncommitted first one with other owners, and maps of one stamp are merged as if they were equal. Change: whoever wins an election raises its own promise to that term.

--- a/crates/ownership/src/planner/election.rs
+++ b/crates/ownership/src/planner/election.rs
@@ -173,7 +173,10 @@
 }
 
 /// Takes over the newest map that the majority accepted, without changing any owner.
-fn win_election(state: &ElectionState, ctx: &PlannerContext<'_>) -> PlannerRole {
+fn win_election(state: &ElectionState, ctx: &mut PlannerContext<'_>) -> PlannerRole {
+    // A candidate that is no witness has made no promise itself. Without one, it could be elected in
+    // the same term again and issue a second map with a stamp that it has used.
+    ctx.witness.observe_term(state.term);
     let mut map = DomainMap::clone(&state.base);
     map.stamp = MapStamp { term: state.term, version: map.stamp.version.next() };
     map.planner = ctx.config.id.clone();
--- a/crates/ownership/tests/it/hold_ends.rs
+++ b/crates/ownership/tests/it/hold_ends.rs
@@ -5,9 +5,13 @@
 
 use std::time::Duration;
 
-use ownership::PlannerEvent;
+use model::MonoTime;
+use ownership::{
+    DomainPlanner, HomesTable, LeaseTiming, PlannerAction, PlannerConfig, PlannerEvent,
+    PrepareReply, StoredRecord,
+};
 
-use self::driver::{PlannerDriver, address, server, sheet};
+use self::driver::{PlannerDriver, address, domain, map, server, sheet, vm};
 
 /// A refusal arrives after the server's next process has answered and taken grants, and then nothing
 /// reaches that process any more.
@@ -46,3 +50,60 @@
     assert_eq!(driver.violations.first(), None);
     assert!(driver.servers[&address(7)].holds_at(driver.now).next().is_some());
 }
+
+/// A planner of `vm0`, whose former process was a witness together with `vm1` and `vm2`.
+struct RestartedVm {
+    now: MonoTime,
+    planner: DomainPlanner,
+}
+
+impl RestartedVm {
+    fn new() -> Self {
+        let now = MonoTime::from_millis(10_000);
+        let config =
+            PlannerConfig { id: vm(0, 2), domain: domain(), timing: LeaseTiming::default() };
+        let mut it = Self { now, planner: DomainPlanner::new(config, now) };
+        it.handle(PlannerEvent::HomesLearned(HomesTable::default()));
+        it.handle(PlannerEvent::SheetLearned(sheet(1, 3, &[])));
+        let stored = map(1, 1, vm(1, 5), &[vm(0, 1), vm(1, 5), vm(2, 5)]);
+        let record = StoredRecord { map: Some(stored), revision: 1 };
+        it.handle(PlannerEvent::RecordRead(Some(record)));
+        it
+    }
+
+    fn handle(&mut self, event: PlannerEvent) -> Vec<PlannerAction> {
+        let wall = model::WallTime(self.now.as_millis() / 1_000);
+        self.planner.handle(event, self.now, wall)
+    }
+
+    fn tick(&mut self) -> Vec<PlannerAction> {
+        self.now = self.now + Duration::from_millis(20);
+        self.handle(PlannerEvent::Tick)
+    }
+}
+
+/// A candidate that is no witness itself acts, loses its witnesses, and is elected again while the
+/// store still has the map from before its first election.
+#[test]
+fn a_candidate_never_uses_a_term_twice() {
+    let mut vm0 = RestartedVm::new();
+    let mut terms = Vec::new();
+    for _ in 0..500 {
+        let mut actions = vm0.tick();
+        while let Some(action) = actions.pop() {
+            match action {
+                PlannerAction::RoleChanged { role: "acting", term } => terms.push(term),
+                PlannerAction::Prepare(request) if request.witness != vm(0, 1) => {
+                    actions.extend(vm0.handle(PlannerEvent::PrepareAnswered {
+                        from: request.witness,
+                        term: request.term,
+                        answer: Some(PrepareReply::Promised { accepted: None }),
+                    }));
+                }
+                _ => (),
+            }
+        }
+    }
+    assert!(terms.len() > 1);
+    assert!(terms.is_sorted_by(|a, b| a < b), "{terms:?}");
+}
--- a/crates/ownership/tests/it/hold_ends/driver.rs
+++ b/crates/ownership/tests/it/hold_ends/driver.rs
@@ -9,7 +9,7 @@
 
 use model::{
     DomainName, FencingToken, Incarnation, MapVersion, MonoTime, ServerName, SheetRevision,
-    SliceKey, VmName, WallTime,
+    SliceKey, Term, VmName, WallTime,
 };
 use ownership::{
     DomainMap, DomainPlanner, GrantOutcome, GrantRequest, HomesTable, LeaseRequest, LeaseTiming,
@@ -37,6 +37,22 @@
     format!("10.0.1.{idx}:1").parse().unwrap()
 }
 
+pub(super) fn domain() -> DomainName {
+    DomainName::try_from("d0").unwrap()
+}
+
+/// A map without slices.
+pub(super) fn map(term: u64, version: u64, planner: VmId, witnesses: &[VmId]) -> Arc<DomainMap> {
+    Arc::new(DomainMap {
+        domain: domain(),
+        stamp: MapStamp { term: Term(term), version: MapVersion(version) },
+        planner,
+        witnesses: witnesses.iter().cloned().collect(),
+        joint_witnesses: Default::default(),
+        entries: Default::default(),
+    })
+}
+
 /// A sheet of one domain with a keyed service whose servers check tokens.
 pub(super) fn sheet(revision: u64, n_vms: usize, servers: &[SocketAddr]) -> SheetDoc {
     let mut text = "kind,name,domain,service,address,state,from,until,settings\n\
@@ -113,11 +129,8 @@
     /// A planner whose domain has `n_servers` servers, after every slice has opened.
     pub(super) fn serving(n_servers: usize) -> Self {
         let now = MonoTime::from_millis(10_000);
-        let config = PlannerConfig {
-            id: vm(0, 1),
-            domain: DomainName::try_from("d0").unwrap(),
-            timing: LeaseTiming::default(),
-        };
+        let config =
+            PlannerConfig { id: vm(0, 1), domain: domain(), timing: LeaseTiming::default() };
         let mut driver = Self {
             now,
             planner: DomainPlanner::new(config, now),
