ownership: a late hello does not prove that a newer process has ended

Cause: incarnations are random and not ordered, and whichever arrived last counted as the present one; any other one counted as ended. An answer of a VM's earlier process that arrived after one of its present process so made that one count as a lost witness. A restarted VM of three that could not reach the other two any more then replaced the witnesses in the record, while both could still elect or follow a planner. Change: another incarnation counts only if it answers a request sent after the known one had answered. Hellos carry their send time; restarts reported to a candidate count from the start of its election.

--- a/crates/ownership/src/planner.rs
+++ b/crates/ownership/src/planner.rs
@@ -96,6 +96,8 @@
     HelloAnswered {
         /// The VM that answered.
         vm: VmName,
+        /// When the hello was sent.
+        sent_at: MonoTime,
         /// Incarnation of the planner process that runs there now.
         incarnation: Incarnation,
     },
@@ -150,7 +152,12 @@
     /// Ask a witness to promise not to accept earlier terms.
     Prepare(PrepareRequest),
     /// Ask a VM's planner for its incarnation.
-    Hello(VmName),
+    Hello {
+        /// The VM to ask.
+        vm: VmName,
+        /// Send time, returned with the answer.
+        sent_at: MonoTime,
+    },
     /// Read the domain's record.
     ReadRecord,
     /// Replace the domain's record if it still has revision `expected`, or create it for `None`.
@@ -342,8 +349,8 @@
             {
                 self.homes = table.clone();
             }
-            PlannerEvent::HelloAnswered { vm, incarnation } => {
-                self.liveness.note_incarnation(vm, *incarnation, now);
+            PlannerEvent::HelloAnswered { vm, sent_at, incarnation } => {
+                self.liveness.note_incarnation(vm, *incarnation, *sent_at, now);
             }
             PlannerEvent::PlannerHeard => self.witness.note_heard(now),
             PlannerEvent::VmRemoved(vm) => self.liveness.note_removed(vm),
--- a/crates/ownership/src/planner/acting.rs
+++ b/crates/ownership/src/planner/acting.rs
@@ -395,7 +395,7 @@
             Some(PlannerRole::Electing(ElectionState::start(base, ctx, actions)))
         }
         Some(AcceptReply::Restarted { current }) => {
-            ctx.liveness.note_incarnation(&from.name, *current, ctx.now);
+            ctx.liveness.note_incarnation(&from.name, *current, sent_at, ctx.now);
             None
         }
         Some(AcceptReply::Refused { .. }) | None => {
--- a/crates/ownership/src/planner/election.rs
+++ b/crates/ownership/src/planner/election.rs
@@ -166,7 +166,7 @@
         // The election goes on with the other witnesses until it is decided or times out.
         PrepareReply::PlannerAlive => None,
         PrepareReply::Restarted { current } => {
-            ctx.liveness.note_incarnation(&from.name, *current, ctx.now);
+            ctx.liveness.note_incarnation(&from.name, *current, state.started_at, ctx.now);
             None
         }
     }
--- a/crates/ownership/src/planner/witness_set.rs
+++ b/crates/ownership/src/planner/witness_set.rs
@@ -32,13 +32,24 @@
 }
 
 impl VmLiveness {
-    /// Notes the incarnation that a VM reported, which also shows that the VM is alive.
+    /// Notes the incarnation that a VM reported to a request sent at `sent_at`, which also shows that
+    /// the VM is alive.
+    ///
+    /// Incarnations are not ordered, so that another one than the known one counts only if the request
+    /// was sent after the known one had answered. An earlier request may have reached an earlier run.
     pub(super) fn note_incarnation(
         &mut self,
         vm: &VmName,
         incarnation: Incarnation,
+        sent_at: MonoTime,
         now: MonoTime,
     ) {
+        let is_late = |(known, heard_at): &(Incarnation, MonoTime)| {
+            *known != incarnation && sent_at < *heard_at
+        };
+        if self.hellos.get(vm).is_some_and(is_late) {
+            return;
+        }
         self.removed.remove(vm);
         self.hellos.insert(vm.clone(), (incarnation, now));
     }
@@ -74,7 +85,7 @@
     let own = doc.sheet.vms_of(&ctx.config.domain).take(MAX_HELLO_VMS).map(|it| it.name.clone());
     let outside = tiebreaker_vms(ctx);
     for vm in own.chain(outside).filter(|it| *it != ctx.config.id.name) {
-        actions.push(PlannerAction::Hello(vm));
+        actions.push(PlannerAction::Hello { vm, sent_at: ctx.now });
     }
 }
 
--- a/crates/ownership/tests/it/hold_ends.rs
+++ b/crates/ownership/tests/it/hold_ends.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use model::MonoTime;
+use model::{Incarnation, MonoTime, VmName};
 use ownership::{
     DomainPlanner, HomesTable, LeaseTiming, PlannerAction, PlannerConfig, PlannerEvent,
     PrepareReply, StoredRecord,
@@ -82,6 +82,27 @@
     }
 }
 
+/// An answer of a VM's earlier process arrives after one of its present process, and the VM then
+/// can't be reached any more.
+#[test]
+fn a_late_hello_does_not_prove_that_a_newer_process_has_ended() {
+    let mut vm0 = RestartedVm::new();
+    let name = VmName::try_from("vm1").unwrap();
+    let asked_at = vm0.now;
+    vm0.tick();
+    let hello = |sent_at, incarnation| PlannerEvent::HelloAnswered {
+        vm: name.clone(),
+        sent_at,
+        incarnation: Incarnation(incarnation),
+    };
+    vm0.handle(hello(vm0.now, 5));
+    vm0.handle(hello(asked_at, 4));
+    for _ in 0..200 {
+        let is_write = |it: &PlannerAction| matches!(it, PlannerAction::WriteRecord { .. });
+        assert!(!vm0.tick().iter().any(is_write), "replaces witnesses that may be alive");
+    }
+}
+
 /// A candidate that is no witness itself acts, loses its witnesses, and is elected again while the
 /// store still has the map from before its first election.
 #[test]
--- a/crates/ownership/tests/it/sim.rs
+++ b/crates/ownership/tests/it/sim.rs
@@ -55,7 +55,7 @@
     Event(usize, Incarnation, PlannerEvent),
     Accept { from: usize, to: usize, request: AcceptRequest, sent_at: MonoTime },
     Prepare { from: usize, to: usize, request: PrepareRequest },
-    Hello { from: usize, to: usize },
+    Hello { from: usize, to: usize, sent_at: MonoTime },
     Read(usize),
     Write { from: usize, map: Arc<DomainMap>, expected: Option<u64> },
     WriteHomes { from: usize, table: HomesTable },
--- a/crates/ownership/tests/it/sim/delivery.rs
+++ b/crates/ownership/tests/it/sim/delivery.rs
@@ -21,10 +21,11 @@
                     .then(|| self.planners[to].planner.answer_prepare(&request, now));
                 self.answer_prepare(from, request, answer);
             }
-            SimMessage::Hello { from, to } => {
+            SimMessage::Hello { from, to, sent_at } => {
                 if !self.is_isolated(from, to) {
                     let incarnation = self.planners[to].incarnation;
-                    let event = PlannerEvent::HelloAnswered { vm: vm_name(to), incarnation };
+                    let event =
+                        PlannerEvent::HelloAnswered { vm: vm_name(to), sent_at, incarnation };
                     self.send_event(from, event);
                 }
             }
@@ -213,9 +214,9 @@
                 let to = index_of(request.witness.name.as_str());
                 self.send(SimMessage::Prepare { from, to, request });
             }
-            PlannerAction::Hello(vm) => {
+            PlannerAction::Hello { vm, sent_at } => {
                 let to = index_of(vm.as_str());
-                self.send(SimMessage::Hello { from, to });
+                self.send(SimMessage::Hello { from, to, sent_at });
             }
             PlannerAction::ReadRecord => self.send(SimMessage::Read(from)),
             PlannerAction::WriteRecord { map, expected } => {
--- a/crates/planner/src/execute.rs
+++ b/crates/planner/src/execute.rs
@@ -53,13 +53,14 @@
                 send_event(&actor, PlannerEvent::PrepareAnswered { from, term, answer }).await;
             });
         }
-        PlannerAction::Hello(vm) => {
+        PlannerAction::Hello { vm, sent_at } => {
             let target = address(&vm);
             tokio::spawn(async move {
                 if let Some(PeerReply::Hello(incarnation)) =
                     call(&state, target, PeerRequest::Hello).await
                 {
-                    send_event(&actor, PlannerEvent::HelloAnswered { vm, incarnation }).await;
+                    let event = PlannerEvent::HelloAnswered { vm, sent_at, incarnation };
+                    send_event(&actor, event).await;
                 }
             });
         }
