router: count an abandoned send as in flight until its deadline

Cause: a send left the count of requests in flight as soon as its future was dropped: when the caller closed its connection, and when another send of the same request was answered first. The server may go on with it. The router then reported the old assignment as drained, and the planner opened the slice at its next owner: with check=none two servers ran requests of one key. Change: each send counts itself, and one that is dropped without a known outcome stays counted until its deadline.

--- a/crates/router/src/keyed.rs
+++ b/crates/router/src/keyed.rs
@@ -10,6 +10,7 @@
 use ownership::OwnerRoute;
 use peer::ForwardCause;
 use policy::{ServiceBalancer, admit};
+use tokio::runtime::Handle;
 
 use crate::{
     attempt::{SendAttempt, SendCause, is_expired, send},
@@ -158,9 +159,7 @@
         let attempt = SendAttempt::begin(state, balancer, &route.server, cause, time_left)
             .ok_or(overloaded)?;
         state.count_slice_request(&route.slice);
-        let guard = state.inflight.enter(&route.slice, route.token);
-        let slice = Some((route.slice.slice, route.token));
-        let first_send = send(attempt, endpoint.clone(), routed, slice);
+        let first_send = self.send_counted(attempt, endpoint.clone(), route);
         tokio::pin!(first_send);
         let timeout = progress_timeout(lock(balancer).latency(), &state.settings.timing);
         let res = match tokio::time::timeout(timeout, &mut first_send).await {
@@ -172,12 +171,25 @@
                 self.await_late_answer(first_send, endpoint, route).await
             }
         };
-        if let Err(CallError { outcome: CallOutcome::Unknown(_), .. }) = res {
-            keep_in_flight_until_deadline(state, guard, routed.deadline);
-        }
         res.map_err(|it| it.outcome)
     }
 
+    /// Sends the request once, and counts it as in flight until it can no longer run.
+    async fn send_counted(
+        &self,
+        attempt: SendAttempt,
+        endpoint: ServerEndpoint,
+        route: &OwnerRoute,
+    ) -> Result<ServerAnswer, CallError> {
+        let in_flight = InflightSend::begin(self.state, route, self.routed.deadline);
+        let slice = Some((route.slice.slice, route.token));
+        let res = send(attempt, endpoint, self.routed, slice).await;
+        if !matches!(res, Err(CallError { outcome: CallOutcome::Unknown(_), .. })) {
+            in_flight.end();
+        }
+        res
+    }
+
     /// Waits for a late answer.
     ///
     /// An idempotent request is also sent on a fresh connection if the retry budget allows it, and
@@ -191,7 +203,6 @@
         if self.routed.idempotency == Idempotency::AtMostOnce {
             return first_send.await;
         }
-        let slice = Some((route.slice.slice, route.token));
         let time_left = self.routed.time_left(self.state.now());
         let second_attempt = SendAttempt::begin(
             self.state,
@@ -203,7 +214,7 @@
         let answer = async {
             match second_attempt {
                 Some(attempt) => {
-                    first_answer(first_send, send(attempt, endpoint, self.routed, slice)).await
+                    first_answer(first_send, self.send_counted(attempt, endpoint, route)).await
                 }
                 None => first_send.await,
             }
@@ -275,20 +286,46 @@
     admit(server, balancer.latency(), routed.time_left(now), now)
 }
 
-/// Counts a request that may still run as in flight until its deadline plus the drift margin, as
-/// the server's clock may drift; then renews the lease, as the lease request reports what has
-/// drained.
-fn keep_in_flight_until_deadline(
-    state: &Arc<RouterState>,
+/// One send that is counted as in flight.
+///
+/// One that is dropped without a known outcome, as when its caller has left or another send was
+/// answered first, may still run and stays counted until its deadline.
+struct InflightSend {
+    state: Arc<RouterState>,
+    guard: Option<InflightGuard>,
+    deadline: MonoTime,
+}
+
+impl InflightSend {
+    fn begin(state: &Arc<RouterState>, route: &OwnerRoute, deadline: MonoTime) -> Self {
+        let guard = state.inflight.enter(&route.slice, route.token);
+        Self { state: state.clone(), guard: Some(guard), deadline }
+    }
+
+    /// Stops counting the send: it has been answered, or certainly has not run.
+    fn end(mut self) {
+        self.guard = None;
+    }
+}
+
+impl Drop for InflightSend {
+    fn drop(&mut self) {
+        if let (Some(guard), Ok(runtime)) = (self.guard.take(), Handle::try_current()) {
+            let (state, deadline) = (self.state.clone(), self.deadline);
+            runtime.spawn(keep_in_flight_until_deadline(state, guard, deadline));
+        }
+    }
+}
+
+/// Keeps a request counted until its deadline plus the drift margin, as the server's clock may drift;
+/// then renews the lease, as the lease request reports what has drained.
+async fn keep_in_flight_until_deadline(
+    state: Arc<RouterState>,
     guard: InflightGuard,
     deadline: MonoTime,
 ) {
     let margin = state.settings.timing.drift_margin;
-    let time_left = deadline.since(state.now()) + margin;
-    let state = state.clone();
-    tokio::spawn(async move {
-        tokio::time::sleep(time_left).await;
-        drop(guard);
-        state.renew_lease_now.notify_one();
-    });
+    tokio::time::sleep(deadline.since(state.now()) + margin).await;
+    drop(guard);
+    state.renew_lease_now.notify_one();
 }
