ownership: tests for waits that no test noticed when they were missing

Added: two cases of the simulation, a check of each grant's lease in all of them, and two direct tests. No logic changed.

--- a/crates/ownership/tests/it/hold_ends.rs
+++ b/crates/ownership/tests/it/hold_ends.rs
@@ -7,11 +7,11 @@
 
 use model::{Incarnation, MonoTime, VmName};
 use ownership::{
-    DomainPlanner, HomesTable, LeaseTiming, PlannerAction, PlannerConfig, PlannerEvent,
-    PrepareReply, StoredRecord,
+    AcceptReply, DomainPlanner, HomesTable, LeaseTiming, PlannerAction, PlannerConfig,
+    PlannerEvent, PrepareReply, StoredRecord,
 };
 
-use self::driver::{PlannerDriver, address, domain, map, server, sheet, vm};
+use self::driver::{PlannerDriver, address, domain, map, server, sheet, sheet_of, vm};
 
 /// A refusal arrives after the server's next process has answered and taken grants, and then nothing
 /// reaches that process any more.
@@ -128,3 +128,50 @@
     assert!(terms.len() > 1);
     assert!(terms.is_sorted_by(|a, b| a < b), "{terms:?}");
 }
+
+/// A server that the sheet no longer lists gets no requests, and nothing tells when its grants end.
+#[test]
+fn the_lease_of_a_server_that_left_the_sheet_is_waited_for() {
+    let mut driver = PlannerDriver::serving(2);
+    let text = "kind,name,domain,service,address,state,from,until,settings\n\
+                domain,d0,,,,in,,,\n\
+                service,queue,,,,,,,kind=keyed;slice-bits=2;check=token;deadline-ms=300\n\
+                vm,vm0,d0,,10.0.0.0:1,in,,,planner=10.0.0.0:2\n\
+                server,s1,d0,queue,10.0.1.1:1,in,,,\n";
+    driver.handle(PlannerEvent::SheetLearned(sheet_of(2, text)));
+    driver.run(Duration::from_secs(2));
+    assert_eq!(driver.violations.first(), None);
+    assert_eq!(driver.servers[&address(1)].holds_at(driver.now).count(), 4);
+}
+
+/// A new planner's authority can't be extended by answers to heartbeats that were long on their way.
+#[test]
+fn authority_counts_from_the_sending_of_heartbeats() {
+    let mut vm0 = RestartedVm::new();
+    let mut heartbeats = Vec::new();
+    while heartbeats.is_empty() {
+        let mut actions = vm0.tick();
+        while let Some(action) = actions.pop() {
+            match action {
+                PlannerAction::Prepare(request) if request.witness != vm(0, 1) => {
+                    actions.extend(vm0.handle(PlannerEvent::PrepareAnswered {
+                        from: request.witness,
+                        term: request.term,
+                        answer: Some(PrepareReply::Promised { accepted: None }),
+                    }));
+                }
+                PlannerAction::Accept { request, sent_at } => heartbeats.push((request, sent_at)),
+                _ => (),
+            }
+        }
+    }
+    let authority = LeaseTiming::default().authority;
+    vm0.now = vm0.now + authority;
+    for (request, sent_at) in heartbeats {
+        let (from, stamp) = (request.witness, request.stamp);
+        let answer = Some(AcceptReply::Accepted);
+        vm0.handle(PlannerEvent::AcceptAnswered { from, sent_at, stamp, answer });
+    }
+    let left = vm0.planner.dump(vm0.now).acting.unwrap().authority_left_ms;
+    assert_eq!(left, 0);
+}
--- a/crates/ownership/tests/it/hold_ends/driver.rs
+++ b/crates/ownership/tests/it/hold_ends/driver.rs
@@ -65,7 +65,11 @@
     for (idx, address) in servers.iter().enumerate() {
         text += &format!("server,s{idx},d0,queue,{address},in,,,\n");
     }
-    let sheet = PlanSheet::try_from(text.as_str()).unwrap();
+    sheet_of(revision, &text)
+}
+
+pub(super) fn sheet_of(revision: u64, text: &str) -> SheetDoc {
+    let sheet = PlanSheet::try_from(text).unwrap();
     SheetDoc { revision: SheetRevision(revision), sheet: Arc::new(sheet) }
 }
 
--- a/crates/ownership/tests/it/invariants.rs
+++ b/crates/ownership/tests/it/invariants.rs
@@ -147,3 +147,26 @@
         check(OwnerCheck::None, 3, seed, &faults);
     }
 }
+
+/// A server is drained or fails just when a new planner has taken over, while the old one still grants leases
+/// to the router on its own VM.
+#[test]
+fn a_new_planner_waits_for_the_leases_of_a_partitioned_one() {
+    for (seed, pause) in (0..4).flat_map(|it| (320..560).step_by(40).map(move |ms| (it, ms))) {
+        let isolate = (pause, SimFault::IsolateVm(0, 3_000));
+        for fault in [SimFault::DrainServer(1), SimFault::KillServer(1, 500)] {
+            check(OwnerCheck::Token, 3, seed, &[isolate.clone(), (10, fault.clone())]);
+            check(OwnerCheck::None, 3, seed, &[isolate.clone(), (10, fault)]);
+        }
+    }
+}
+
+/// A server is drained while a router that sends to it is cut off: its lease is waited for, and then
+/// the deadlines of what it sent.
+#[test]
+fn the_requests_of_a_partitioned_router_are_waited_for() {
+    for seed in 0..12 {
+        let faults = [(20, SimFault::IsolateVm(1, 3_000)), (10, SimFault::DrainServer(1))];
+        check(OwnerCheck::None, 3, seed, &faults);
+    }
+}
--- a/crates/ownership/tests/it/sim/checks.rs
+++ b/crates/ownership/tests/it/sim/checks.rs
@@ -53,6 +53,23 @@
         }
     }
 
+    /// A server must not hold a grant for longer than its planner has authority to act.
+    pub(super) fn check_grant_lease(&mut self, from: usize, server: usize, request: &GrantRequest) {
+        let now = self.now;
+        let receipts = &self.servers[server].receipts;
+        let issued_at = request.basis.as_ref().and_then(|it| receipts.get(it)).copied();
+        let acting = self.planners[from].planner.dump(now).acting;
+        if let (Some(issued_at), Some(acting)) = (issued_at, acting) {
+            // The dump rounds down to milliseconds.
+            let authority_end = now + Duration::from_millis(acting.authority_left_ms + 1);
+            if issued_at + request.lease > authority_end {
+                let message =
+                    format!("{now:?} s{server} is granted a lease beyond vm{from}'s authority");
+                self.violations.push(message);
+            }
+        }
+    }
+
     /// Number of slices for which some router cannot route requests now.
     pub fn unserved(&self) -> usize {
         SliceId::all(SLICE_BITS)
--- a/crates/ownership/tests/it/sim/delivery.rs
+++ b/crates/ownership/tests/it/sim/delivery.rs
@@ -225,6 +225,7 @@
             PlannerAction::WriteHomes(table) => self.send(SimMessage::WriteHomes { from, table }),
             PlannerAction::Grant { server, request, sent_at, .. } => {
                 let server = index_of(server.as_str());
+                self.check_grant_lease(from, server, &request);
                 self.send(SimMessage::Grant { from, server, request, sent_at });
             }
             PlannerAction::Probe { server, sent_at, .. } => {
