ownership: tests for two more guards that no test noticed

Trials on a scratch copy: the term of an acknowledgement, and new tokens for all slices after a lost quorum, could each be ignored with every test green. Added one direct test (an answer of an earlier term, then a server out of reach) and one case of the simulation (a change adopted without the store whose three holders are replaced). With the guard removed each fails: two servers hold a slice; a token falls from 1.1.3 to 1.1.2. With it all pass. No logic changed.

--- a/crates/ownership/tests/it/hold_ends.rs
+++ b/crates/ownership/tests/it/hold_ends.rs
@@ -5,10 +5,10 @@
 
 use std::time::Duration;
 
-use model::{Incarnation, MonoTime, VmName};
+use model::{Incarnation, MonoTime, Term, VmName};
 use ownership::{
-    AcceptReply, DomainPlanner, HomesTable, LeaseTiming, PlannerAction, PlannerConfig,
-    PlannerEvent, PrepareReply, StoredRecord,
+    AcceptReply, DomainPlanner, GrantOutcome, HomesTable, LeaseTiming, PlannerAction,
+    PlannerConfig, PlannerEvent, PrepareReply, StoredRecord,
 };
 
 use self::driver::{PlannerDriver, address, domain, map, server, sheet, sheet_of, vm};
@@ -175,3 +175,18 @@
     let left = vm0.planner.dump(vm0.now).acting.unwrap().authority_left_ms;
     assert_eq!(left, 0);
 }
+
+/// A server's late answer about an earlier term's set of grants, whose versions were higher, arrives
+/// before the server is drained and can't be reached any more.
+#[test]
+fn an_answer_of_an_earlier_term_acknowledges_no_revocation() {
+    let mut driver = PlannerDriver::serving(2);
+    driver.handle(PlannerEvent::ServerAnswered {
+        server: server(0),
+        sent_at: driver.now,
+        answer: GrantOutcome::Acked { term: Term(0), set_version: 1_000, basis: String::new() },
+    });
+    driver.unreachable.insert(address(0));
+    driver.run(Duration::from_secs(2));
+    assert_eq!(driver.violations.first(), None);
+}
--- a/crates/ownership/tests/it/invariants.rs
+++ b/crates/ownership/tests/it/invariants.rs
@@ -170,3 +170,19 @@
         check(OwnerCheck::None, 3, seed, &faults);
     }
 }
+
+/// A drain is adopted while the store is down, and all VMs that know of it are replaced.
+#[test]
+fn tokens_do_not_fall_when_all_holders_of_an_unsaved_change_are_lost() {
+    for seed in 0..8 {
+        let faults = [
+            (10, SimFault::StoreDown(1_000)),
+            (700, SimFault::DrainServer(1)),
+            (0, SimFault::KillPlanner(0)),
+            (0, SimFault::KillPlanner(1)),
+            (0, SimFault::KillPlanner(2)),
+            (10, SimFault::ReturnServer(1)),
+        ];
+        check(OwnerCheck::Token, 3, seed, &faults);
+    }
+}
