--- a/crates/ownership/tests/it/hold_ends.rs
+++ b/crates/ownership/tests/it/hold_ends.rs
@@ -3,15 +3,17 @@
 
 mod driver;
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
-use model::{Incarnation, MonoTime, Term, VmName};
+use model::{Incarnation, MonoTime, OwnerCheck, Term, VmName};
 use ownership::{
-    AcceptReply, DomainPlanner, GrantOutcome, HomesTable, LeaseTiming, PlannerAction,
-    PlannerConfig, PlannerEvent, PrepareReply, StoredRecord,
+    AcceptReply, AcceptRequest, DomainMap, DomainPlanner, GrantOutcome, HomesTable, LeaseTiming,
+    PlannerAction, PlannerConfig, PlannerEvent, PrepareReply, StoredRecord,
 };
 
-use self::driver::{PlannerDriver, address, domain, map, server, sheet, sheet_of, vm};
+use self::driver::{
+    PlannerDriver, address, checked_sheet, domain, map, server, sheet, sheet_of, vm,
+};
 
 /// A refusal arrives after the server's next process has answered and taken grants, and then nothing
 /// reaches that process any more.
@@ -51,6 +53,25 @@
     assert!(driver.servers[&address(7)].holds_at(driver.now).next().is_some());
 }
 
+/// A router has sent requests to the old address of a server that checks no tokens, and nothing
+/// listens at the new one.
+#[test]
+fn a_refusal_at_a_new_address_does_not_end_the_requests_at_the_old_one() {
+    let mut driver = PlannerDriver::with_check(OwnerCheck::None, 2);
+    let before = driver.version();
+    let moved = checked_sheet(OwnerCheck::None, 2, 1, &[address(7), address(1)]);
+    driver.renew_lease(before);
+    driver.handle(PlannerEvent::SheetLearned(moved));
+    for _ in 0..100 {
+        driver.renew_lease(before);
+        driver.run(Duration::from_millis(20));
+    }
+    assert_eq!(driver.open_count(), 2);
+    driver.renew_lease(driver.version());
+    driver.run(Duration::from_millis(20));
+    assert_eq!(driver.open_count(), 4);
+}
+
 /// A planner of `vm0`, whose former process was a witness together with `vm1` and `vm2`.
 struct RestartedVm {
     now: MonoTime,
@@ -59,13 +80,16 @@
 
 impl RestartedVm {
     fn new() -> Self {
+        Self::with_record(map(1, 1, vm(1, 5), &[vm(0, 1), vm(1, 5), vm(2, 5)]))
+    }
+
+    fn with_record(stored: Arc<DomainMap>) -> Self {
         let now = MonoTime::from_millis(10_000);
         let config =
             PlannerConfig { id: vm(0, 2), domain: domain(), timing: LeaseTiming::default() };
         let mut it = Self { now, planner: DomainPlanner::new(config, now) };
         it.handle(PlannerEvent::HomesLearned(HomesTable::default()));
         it.handle(PlannerEvent::SheetLearned(sheet(1, 3, &[])));
-        let stored = map(1, 1, vm(1, 5), &[vm(0, 1), vm(1, 5), vm(2, 5)]);
         let record = StoredRecord { map: Some(stored), revision: 1 };
         it.handle(PlannerEvent::RecordRead(Some(record)));
         it
@@ -76,6 +100,35 @@
         self.planner.handle(event, self.now, wall)
     }
 
+    /// Runs until the planner acts, with promises of all witnesses. Returns its first heartbeats to
+    /// the others, which are not answered.
+    fn win_election(&mut self) -> Vec<(AcceptRequest, MonoTime)> {
+        let mut heartbeats = Vec::new();
+        while heartbeats.is_empty() {
+            let mut actions = self.tick();
+            while let Some(action) = actions.pop() {
+                match action {
+                    PlannerAction::Prepare(request) if request.witness != vm(0, 1) => {
+                        actions.extend(self.handle(PlannerEvent::PrepareAnswered {
+                            from: request.witness,
+                            term: request.term,
+                            answer: Some(PrepareReply::Promised { accepted: None }),
+                        }));
+                    }
+                    PlannerAction::Accept { request, sent_at } => {
+                        heartbeats.push((request, sent_at));
+                    }
+                    _ => (),
+                }
+            }
+        }
+        heartbeats
+    }
+
+    fn authority_left_ms(&self) -> u64 {
+        self.planner.dump(self.now).acting.unwrap().authority_left_ms
+    }
+
     fn tick(&mut self) -> Vec<PlannerAction> {
         self.now = self.now + Duration::from_millis(20);
         self.handle(PlannerEvent::Tick)
@@ -148,23 +201,7 @@
 #[test]
 fn authority_counts_from_the_sending_of_heartbeats() {
     let mut vm0 = RestartedVm::new();
-    let mut heartbeats = Vec::new();
-    while heartbeats.is_empty() {
-        let mut actions = vm0.tick();
-        while let Some(action) = actions.pop() {
-            match action {
-                PlannerAction::Prepare(request) if request.witness != vm(0, 1) => {
-                    actions.extend(vm0.handle(PlannerEvent::PrepareAnswered {
-                        from: request.witness,
-                        term: request.term,
-                        answer: Some(PrepareReply::Promised { accepted: None }),
-                    }));
-                }
-                PlannerAction::Accept { request, sent_at } => heartbeats.push((request, sent_at)),
-                _ => (),
-            }
-        }
-    }
+    let heartbeats = vm0.win_election();
     let authority = LeaseTiming::default().authority;
     vm0.now = vm0.now + authority;
     for (request, sent_at) in heartbeats {
@@ -172,8 +209,7 @@
         let answer = Some(AcceptReply::Accepted);
         vm0.handle(PlannerEvent::AcceptAnswered { from, sent_at, stamp, answer });
     }
-    let left = vm0.planner.dump(vm0.now).acting.unwrap().authority_left_ms;
-    assert_eq!(left, 0);
+    assert_eq!(vm0.authority_left_ms(), 0);
 }
 
 /// A server's late answer about an earlier term's set of grants, whose versions were higher, arrives
@@ -190,3 +226,19 @@
     driver.run(Duration::from_secs(2));
     assert_eq!(driver.violations.first(), None);
 }
+
+/// While the witnesses change, the planner's own VM alone is a majority of the new set.
+#[test]
+fn authority_needs_both_witness_sets() {
+    let mut stored = DomainMap::clone(&map(1, 1, vm(1, 5), &[vm(0, 2)]));
+    stored.joint_witnesses = [vm(1, 5), vm(2, 5), vm(0, 1)].into_iter().collect();
+    let mut vm0 = RestartedVm::with_record(Arc::new(stored));
+    let heartbeats = vm0.win_election();
+    assert_eq!(vm0.authority_left_ms(), 0);
+    for (request, sent_at) in heartbeats.into_iter().filter(|(it, _)| it.witness != vm(0, 1)) {
+        let (from, stamp) = (request.witness, request.stamp);
+        let answer = Some(AcceptReply::Accepted);
+        vm0.handle(PlannerEvent::AcceptAnswered { from, sent_at, stamp, answer });
+    }
+    assert!(vm0.authority_left_ms() > 0);
+}
--- a/crates/ownership/tests/it/hold_ends/driver.rs
+++ b/crates/ownership/tests/it/hold_ends/driver.rs
@@ -8,8 +8,8 @@
 };
 
 use model::{
-    DomainName, FencingToken, Incarnation, MapVersion, MonoTime, ServerName, SheetRevision,
-    SliceKey, Term, VmName, WallTime,
+    DomainName, FencingToken, Incarnation, MapVersion, MonoTime, OwnerCheck, ServerName,
+    SheetRevision, SliceKey, Term, VmName, WallTime,
 };
 use ownership::{
     DomainMap, DomainPlanner, GrantOutcome, GrantRequest, HomesTable, LeaseRequest, LeaseTiming,
@@ -55,10 +55,20 @@
 
 /// A sheet of one domain with a keyed service whose servers check tokens.
 pub(super) fn sheet(revision: u64, n_vms: usize, servers: &[SocketAddr]) -> SheetDoc {
-    let mut text = "kind,name,domain,service,address,state,from,until,settings\n\
-                    domain,d0,,,,in,,,\n\
-                    service,queue,,,,,,,kind=keyed;slice-bits=2;check=token;deadline-ms=300\n"
-        .to_owned();
+    checked_sheet(OwnerCheck::Token, revision, n_vms, servers)
+}
+
+pub(super) fn checked_sheet(
+    check: OwnerCheck,
+    revision: u64,
+    n_vms: usize,
+    servers: &[SocketAddr],
+) -> SheetDoc {
+    let mut text = format!(
+        "kind,name,domain,service,address,state,from,until,settings\n\
+         domain,d0,,,,in,,,\n\
+         service,queue,,,,,,,kind=keyed;slice-bits=2;check={check};deadline-ms=300\n"
+    );
     for idx in 0..n_vms {
         text += &format!("vm,vm{idx},d0,,10.0.0.{idx}:1,in,,,planner=10.0.0.{idx}:2\n");
     }
@@ -132,6 +142,11 @@
 impl PlannerDriver {
     /// A planner whose domain has `n_servers` servers, after every slice has opened.
     pub(super) fn serving(n_servers: usize) -> Self {
+        Self::with_check(OwnerCheck::Token, n_servers)
+    }
+
+    /// The same with servers that check tokens or not.
+    pub(super) fn with_check(check: OwnerCheck, n_servers: usize) -> Self {
         let now = MonoTime::from_millis(10_000);
         let config =
             PlannerConfig { id: vm(0, 1), domain: domain(), timing: LeaseTiming::default() };
@@ -153,8 +168,8 @@
             driver.start_server(*address);
         }
         driver.handle(PlannerEvent::HomesLearned(HomesTable::default()));
-        driver.handle(PlannerEvent::SheetLearned(sheet(1, 1, &addresses)));
-        driver.run_until(|it| it.map.as_ref().is_some_and(|map| map.open_count() == 4));
+        driver.handle(PlannerEvent::SheetLearned(checked_sheet(check, 1, 1, &addresses)));
+        driver.run_until(|it| it.open_count() == 4);
         driver.run(Duration::from_secs(1));
         driver
     }
@@ -165,6 +180,28 @@
         self.servers.insert(address, ServerProcess::default());
     }
 
+    /// Number of open slices in the published map.
+    pub(super) fn open_count(&self) -> usize {
+        self.map.as_ref().map_or(0, |it| it.open_count())
+    }
+
+    /// Version of the published map.
+    pub(super) fn version(&self) -> MapVersion {
+        self.map.as_ref().map_or(MapVersion(0), |it| it.stamp.version)
+    }
+
+    /// Has a router renew its lease on the published map, under which `drained` is drained.
+    pub(super) fn renew_lease(&mut self, drained: MapVersion) {
+        let request = LeaseRequest {
+            router: vm(0, 7),
+            held: self.map.as_ref().map_or_else(MapStamp::default, |it| it.stamp),
+            held_open: self.open_count() as u32,
+            drained,
+            suspects: Default::default(),
+        };
+        self.planner.answer_lease(&request, self.now);
+    }
+
     /// Has a router report that a server's host refused its connection.
     pub(super) fn report_suspect(&mut self, server: ServerName) {
         let request = LeaseRequest {
@@ -243,6 +280,17 @@
                 }
                 Some(event)
             }
+            PlannerAction::Probe { server, address, sent_at } => {
+                let answer = match self.servers.contains_key(&address) {
+                    true => GrantOutcome::Acked {
+                        term: Term::default(),
+                        set_version: 0,
+                        basis: String::new(),
+                    },
+                    false => GrantOutcome::Refused,
+                };
+                Some(PlannerEvent::ServerAnswered { server, sent_at, answer })
+            }
             _ => None,
         }
     }
