ownership: note the end of a write with the map that was written

Cause: the cached record took its map from the present role when a write ended. After a change of role that was none, so that the record counted as missing and the next write tried to create it; after a dropped change of witnesses it was the older map under the newer revision, by which a planner could replace witnesses that it had itself recorded. Change: the cache keeps the map of the write in flight. The second case was read, not tried.

--- a/crates/ownership/src/planner/acting.rs
+++ b/crates/ownership/src/planner/acting.rs
@@ -223,7 +223,7 @@
             proposal::handle_record_event(state, event, ctx, actions)
         }
         PlannerEvent::HomesWritten(_) => {
-            ctx.record.observe(event, None, ctx.now);
+            ctx.record.observe(event, ctx.now);
             state.is_proposal_due = true;
             // Without a known table, the next write waits for the retry interval.
             if matches!(event, PlannerEvent::HomesWritten(Some(_))) {
--- a/crates/ownership/src/planner/bootstrap.rs
+++ b/crates/ownership/src/planner/bootstrap.rs
@@ -39,7 +39,7 @@
         ctx: &mut PlannerContext<'_>,
         actions: &mut Vec<PlannerAction>,
     ) -> Option<PlannerRole> {
-        ctx.record.observe(event, self.map.as_ref(), ctx.now);
+        ctx.record.observe(event, ctx.now);
         let stored = match event {
             PlannerEvent::RecordWritten { outcome: WriteOutcome::Written(_), .. } => {
                 self.map.take()
--- a/crates/ownership/src/planner/proposal.rs
+++ b/crates/ownership/src/planner/proposal.rs
@@ -53,13 +53,7 @@
     ctx: &mut PlannerContext<'_>,
     actions: &mut Vec<PlannerAction>,
 ) -> NextRole {
-    // A write carries the newest map or the pending proposal; the stamp tells which.
-    let pending = state.proposal.as_ref().map_or(&state.map, |it| &it.map).clone();
-    let written = match event {
-        PlannerEvent::RecordWritten { stamp, .. } if *stamp == state.map.stamp => state.map.clone(),
-        _ => pending,
-    };
-    ctx.record.observe(event, Some(&written), ctx.now);
+    ctx.record.observe(event, ctx.now);
     match event {
         PlannerEvent::RecordWritten { stamp, outcome: WriteOutcome::Written(_) } => {
             mark_saved(state, *stamp);
--- a/crates/ownership/src/planner/record.rs
+++ b/crates/ownership/src/planner/record.rs
@@ -23,7 +23,8 @@
     answered_at: Option<MonoTime>,
     read_sent_at: Option<MonoTime>,
     last_read_at: Option<MonoTime>,
-    is_writing: bool,
+    /// Map of the write in flight, which the role that started it may not outlive.
+    writing: Option<Arc<DomainMap>>,
 }
 
 impl RecordView {
@@ -34,7 +35,7 @@
 
     /// Whether a write is in flight.
     pub(super) fn is_writing(&self) -> bool {
-        self.is_writing
+        self.writing.is_some()
     }
 
     /// Whether the store has answered within [`STORE_UNREACHABLE_AFTER`].
@@ -66,17 +67,12 @@
             Some(record) => record.map.as_ref().map(|_| record.revision),
             None => return,
         };
-        self.is_writing = true;
+        self.writing = Some(map.clone());
         actions.push(PlannerAction::WriteRecord { map, expected });
     }
 
     /// Updates the cached record and the state of requests when a read or write ends.
-    pub(super) fn observe(
-        &mut self,
-        event: &PlannerEvent,
-        written: Option<&Arc<DomainMap>>,
-        now: MonoTime,
-    ) {
+    pub(super) fn observe(&mut self, event: &PlannerEvent, now: MonoTime) {
         match event {
             PlannerEvent::RecordRead(answer) => {
                 self.read_sent_at = None;
@@ -86,11 +82,10 @@
                 }
             }
             PlannerEvent::RecordWritten { outcome, .. } => {
-                self.is_writing = false;
+                let map = self.writing.take();
                 match outcome {
                     WriteOutcome::Written(revision) => {
                         self.answered_at = Some(now);
-                        let map = written.cloned();
                         self.known = Some(StoredRecord { map, revision: *revision });
                     }
                     WriteOutcome::Conflict => {
--- a/crates/ownership/tests/it/hold_ends.rs
+++ b/crates/ownership/tests/it/hold_ends.rs
@@ -72,6 +72,28 @@
     assert_eq!(driver.open_count(), 4);
 }
 
+/// The answer to a write arrives when the planner no longer acts. The record must not count as missing
+/// then: a planner that finds none creates it.
+#[test]
+fn a_write_that_ends_after_a_change_of_role_leaves_the_record_known() {
+    let mut driver = PlannerDriver::serving(2);
+    driver.delays_writes = true;
+    driver.servers.remove(&address(0));
+    driver.run_until(|it| !it.delayed.is_empty());
+    driver.handle(PlannerEvent::ServerAnswered {
+        server: server(1),
+        sent_at: driver.now,
+        answer: GrantOutcome::Rejected { term: Term(5) },
+    });
+    driver.delays_writes = false;
+    let n_writes = driver.replaced_revisions.len();
+    driver.deliver_delayed();
+    driver.run(Duration::from_secs(3));
+    let later = &driver.replaced_revisions[n_writes..];
+    assert!(!later.is_empty());
+    assert!(later.iter().all(|it| it.is_some()), "{later:?}");
+}
+
 /// A planner of `vm0`, whose former process was a witness together with `vm1` and `vm2`.
 struct RestartedVm {
     now: MonoTime,
--- a/crates/ownership/tests/it/hold_ends/driver.rs
+++ b/crates/ownership/tests/it/hold_ends/driver.rs
@@ -127,6 +127,10 @@
     planner: DomainPlanner,
     record: Option<(Arc<DomainMap>, u64)>,
     map: Option<Arc<DomainMap>>,
+    /// Answers to writes of the record are kept in `delayed`.
+    pub(super) delays_writes: bool,
+    /// Revision that each write of the record was to replace.
+    pub(super) replaced_revisions: Vec<Option<u64>>,
     /// Running processes by address; connections to other addresses are refused.
     pub(super) servers: BTreeMap<SocketAddr, ServerProcess>,
     /// Addresses from which nothing is answered, although the process runs.
@@ -155,6 +159,8 @@
             planner: DomainPlanner::new(config, now),
             record: None,
             map: None,
+            delays_writes: false,
+            replaced_revisions: Vec::new(),
             servers: BTreeMap::new(),
             unreachable: BTreeSet::new(),
             n_processes: 0,
@@ -254,12 +260,18 @@
                 let revision = self.record.as_ref().map_or(0, |it| it.1);
                 Some(PlannerEvent::RecordRead(Some(StoredRecord { map, revision })))
             }
-            PlannerAction::WriteRecord { map, .. } => {
+            PlannerAction::WriteRecord { map, expected } => {
+                self.replaced_revisions.push(expected);
                 let revision = self.record.as_ref().map_or(1, |it| it.1 + 1);
                 let stamp = map.stamp;
                 self.record = Some((map, revision));
                 let outcome = WriteOutcome::Written(revision);
-                Some(PlannerEvent::RecordWritten { stamp, outcome })
+                let event = PlannerEvent::RecordWritten { stamp, outcome };
+                if self.delays_writes {
+                    self.delayed.push(event);
+                    return None;
+                }
+                Some(event)
             }
             PlannerAction::WriteHomes(table) => Some(PlannerEvent::HomesWritten(Some(table))),
             PlannerAction::Publish(map) => {
