--- a/crates/ownership/src/planner/acting.rs
+++ b/crates/ownership/src/planner/acting.rs
@@ -223,7 +223,7 @@
             proposal::handle_record_event(state, event, ctx, actions)
         }
         PlannerEvent::HomesWritten(_) => {
-            ctx.record.observe(event, None, ctx.now);
+            ctx.record.observe(event, ctx.now);
             state.is_proposal_due = true;
             // Without a known table, the next write waits for the retry interval.
             if matches!(event, PlannerEvent::HomesWritten(Some(_))) {
@@ -395,7 +395,7 @@
             Some(PlannerRole::Electing(ElectionState::start(base, ctx, actions)))
         }
         Some(AcceptReply::Restarted { current }) => {
-            ctx.liveness.note_incarnation(&from.name, *current, ctx.now);
+            ctx.liveness.note_incarnation(&from.name, *current, sent_at, ctx.now);
             None
         }
         Some(AcceptReply::Refused { .. }) | None => {
