entry, platform: use no server whose entry can't be read, and log it once

An entry that isn't base64 left its server in use, whereas one that can't be decoded counted as removed, with no log line. Around an outage of the store the latter only counted as missing, so that its server got requests if no other was listed, although the entry was there and named no server to use.

Change: one answer for both. The line is written when the entry becomes unreadable, not at each heartbeat of its writer. Other VMs get the removal as before; the new event is never sent to them. Its keys are released or wait for their holds, like those of a server that is gone.

--- a/crates/entry/src/ports.rs
+++ b/crates/entry/src/ports.rs
@@ -44,7 +44,7 @@
 pub enum ChangeEvent {
     /// A new version of the plan.
     Plan(RoutePlan),
-    /// A server's current entry; `None` if it was removed or can't be decoded.
+    /// A server's current entry; `None` if it was removed or, from another VM, can't be decoded.
     Server(ServerName, Option<ServerEntry>),
     /// Whether operators have evacuated a failure domain.
     Evacuation(DomainName, bool),
@@ -59,13 +59,21 @@
     },
     /// An incremental update of a shard record; sent by other VMs only.
     Shards(ShardUpdate),
-    /// An item that can't be decoded.
+    /// An item that can't be decoded. Never sent to other VMs.
     Unreadable {
         /// Key of the item.
         name: String,
         /// Decoding error, for the log.
         cause: String,
     },
+    /// A server's entry that is present but can't be decoded. The server must not be used. Sent to
+    /// other VMs as its removal.
+    UnreadableServer {
+        /// Name of the server.
+        name: ServerName,
+        /// Decoding error, for the log.
+        cause: String,
+    },
 }
 
 impl ChangeEvent {
@@ -74,9 +82,11 @@
         match self {
             Self::Record { revision, .. } => Some(*revision),
             Self::Shards(update) => Some(update.revision),
-            Self::Plan(_) | Self::Server(..) | Self::Evacuation(..) | Self::Unreadable { .. } => {
-                None
-            }
+            Self::Plan(_)
+            | Self::Server(..)
+            | Self::Evacuation(..)
+            | Self::Unreadable { .. }
+            | Self::UnreadableServer { .. } => None,
         }
     }
 }
--- a/crates/entry/src/state_cache.rs
+++ b/crates/entry/src/state_cache.rs
@@ -53,6 +53,8 @@
     is_difference: bool,
     /// Whether changes may be missing since the last complete read.
     is_incomplete: bool,
+    /// Servers whose entries can't be decoded, each of which has been logged.
+    unreadable: BTreeSet<ServerName>,
     /// When a call to the store last failed; `None` once a complete read has been requested.
     store_failed_at: Option<MonoTime>,
     /// Whether servers have joined or left since they were last indexed by service.
@@ -73,6 +75,7 @@
             taken_revision: 0,
             is_difference: false,
             is_incomplete: false,
+            unreadable: BTreeSet::new(),
             store_failed_at: None,
             is_index_stale: false,
             has_complete_state: false,
@@ -151,7 +154,10 @@
 
     fn apply_and_queue(&mut self, event: ChangeEvent, now: MonoTime) {
         if self.apply_event(event.clone(), now) {
-            self.changes.push(event);
+            self.changes.push(match event {
+                ChangeEvent::UnreadableServer { name, .. } => ChangeEvent::Server(name, None),
+                event => event,
+            });
         }
     }
 
@@ -178,7 +184,8 @@
     /// Events that remove the cached servers, evacuations, VMs and assigner that are not listed.
     fn removals_of_unlisted(&self, listed: &ListedNames) -> Vec<ChangeEvent> {
         let snapshot = &self.snapshot;
-        let servers = snapshot.servers.keys().filter(|it| !listed.servers.contains(*it));
+        let servers = snapshot.servers.keys().chain(&self.unreadable);
+        let servers = servers.filter(|it| !listed.servers.contains(*it));
         let mut events: Vec<ChangeEvent> =
             servers.map(|it| ChangeEvent::Server(it.clone(), None)).collect();
         let domains = snapshot.evacuated.keys().filter(|it| !listed.domains.contains(*it));
@@ -207,8 +214,20 @@
                 self.snapshot.plan = Some(Arc::new(plan));
                 true
             }
-            ChangeEvent::Server(name, Some(entry)) => self.update_server(name, entry, now),
-            ChangeEvent::Server(name, None) => self.remove_server(&name, now),
+            ChangeEvent::Server(name, entry) => {
+                self.unreadable.remove(&name);
+                match entry {
+                    Some(entry) => self.update_server(name, entry, now),
+                    None => self.remove_server(&name, now),
+                }
+            }
+            ChangeEvent::UnreadableServer { name, cause } => {
+                // Its writer may write it again and again.
+                if self.unreadable.insert(name.clone()) {
+                    warn!(self.log, "server-unreadable"; "server" => %name, "cause" => cause);
+                }
+                self.drop_server(&name)
+            }
             ChangeEvent::Evacuation(domain, true) => {
                 let is_new = !self.snapshot.evacuated.contains_key(&domain);
                 if is_new {
@@ -246,7 +265,7 @@
     }
 }
 
-/// Names that a complete read contains.
+/// Names that a complete read contains, those of entries that can't be decoded included.
 #[derive(Debug, Default)]
 struct ListedNames {
     servers: BTreeSet<ServerName>,
@@ -257,7 +276,9 @@
 impl ListedNames {
     fn add(&mut self, event: &ChangeEvent) {
         match event {
-            ChangeEvent::Server(name, Some(_)) => _ = self.servers.insert(name.clone()),
+            ChangeEvent::Server(name, Some(_)) | ChangeEvent::UnreadableServer { name, .. } => {
+                self.servers.insert(name.clone());
+            }
             ChangeEvent::Evacuation(domain, true) => _ = self.domains.insert(domain.clone()),
             ChangeEvent::Record { name, .. } => _ = self.records.insert(name.clone()),
             _ => (),
--- a/crates/entry/src/state_cache/servers.rs
+++ b/crates/entry/src/state_cache/servers.rs
@@ -79,14 +79,23 @@
         }
     }
 
+    /// Removes a server whose entry is gone. Around an outage of the store it only counts as missing.
     pub(super) fn remove_server(&mut self, name: &ServerName, now: MonoTime) -> bool {
-        let is_lapse = self.is_lapse_possible(now);
+        if !self.is_lapse_possible(now) {
+            return self.drop_server(name);
+        }
         let Some(server) = Arc::make_mut(&mut self.snapshot.servers).get_mut(name) else {
             return false;
         };
-        if is_lapse {
-            info!(self.log, "server-missing"; "server" => %name);
-            return !std::mem::replace(&mut server.is_missing, true);
+        info!(self.log, "server-missing"; "server" => %name);
+        !std::mem::replace(&mut server.is_missing, true)
+    }
+
+    /// Removes a server that must not be used any more.
+    pub(super) fn drop_server(&mut self, name: &ServerName) -> bool {
+        // Avoids a copy of the shared map for an entry that is written again and again.
+        if !self.snapshot.servers.contains_key(name) {
+            return false;
         }
         info!(self.log, "server-gone"; "server" => %name);
         Arc::make_mut(&mut self.snapshot.servers).remove(name);
