entry: release keys under the token reserved for their move

A grant without an answer may take effect seconds later, after newer ones. A move taken over from a predecessor was released under the token of the holder, so a renewal of the predecessor that took effect later was accepted under the same token, and the old holder kept the keys beside the new one (10 s at most). Now each release carries the reserved token, which is larger; servers never refuse a release, and reject smaller tokens of grants after it. The reserved token is granted at most once, so that no two earlier holders get the same, and a fence that is not answered is not repeated (keys of a server that resets connections had no owner for good: the fences put off the end of its holds). A move whose token is spent asks for another before it releases anything again. A slow clock is taken as 1/0.98, not 1.02. Grants that certainly did not arrive are no longer logged as keys-granted, fencing grants have the fields of one.

--- a/crates/entry/src/assigner/order_executor.rs
+++ b/crates/entry/src/assigner/order_executor.rs
@@ -51,7 +51,7 @@
         let spent_token = (self.service.clone(), order.token);
         let is_first = order.kind == GrantKind::First;
         if is_first && self.state.borrow().spent_tokens.contains(&spent_token) {
-            return OrderOutcome::LineLost;
+            return OrderOutcome::TokenSpent;
         }
         let may_send = |now: MonoTime| {
             let mut state = self.state.borrow_mut();
@@ -65,7 +65,10 @@
         let GrantOrder { range, token, hold, .. } = order;
         let now = self.clock.now();
         let arrived_at = match &res {
-            OrderOutcome::NotSent(_) | OrderOutcome::LineLost | OrderOutcome::Withdrawn => None,
+            OrderOutcome::NotSent(_)
+            | OrderOutcome::LineLost
+            | OrderOutcome::TokenSpent
+            | OrderOutcome::Withdrawn => None,
             OrderOutcome::Silent(_) => Some(now + TRANSIT_MARGIN),
             _ => Some(now),
         };
@@ -102,7 +105,8 @@
         }
         let order = GrantOrder { range, token, hold, handover, kind };
         let res = self.send_grant(entry, instance, order).await;
-        if kind == GrantKind::First {
+        let may_have_arrived = matches!(res, OrderOutcome::Done(_) | OrderOutcome::Silent(_));
+        if kind == GrantKind::First && may_have_arrived {
             info!(self.log, "keys-granted"; "service" => %self.service,
                 "first" => range.first, "last" => range.last, "server" => %instance.server,
                 "born" => instance.born, "address" => %instance.address, "token" => token,
@@ -135,7 +139,12 @@
         let (range, kind) = (entry.range, GrantKind::First);
         let order = GrantOrder { range, token, hold: FENCE_HOLD, handover: None, kind };
         let res = self.send_grant(entry, instance, order).await;
-        info!(self.log, "unanswered-grants-fenced"; "server" => %instance.server, "token" => token,
+        // No other earlier holder may get the same token.
+        self.state.borrow_mut().spent_tokens.insert((self.service.clone(), token));
+        info!(self.log, "unanswered-grants-fenced"; "service" => %self.service,
+            "first" => range.first, "last" => range.last, "server" => %instance.server,
+            "born" => instance.born, "address" => %instance.address, "token" => token,
+            "hold_ms" => FENCE_HOLD.as_millis() as u64, "lease_revision" => self.lease_revision(),
             "end" => ?res);
         matches!(res, OrderOutcome::Done(_))
     }
@@ -170,6 +179,10 @@
     /// A later run of the holder in the list of servers proves nothing. It may have been granted the
     /// keys in place of the earlier run, and a late write can show an earlier run again.
     pub(super) async fn hand_over(&self, entry: &ShardEntry) {
+        let spent_token = (self.service.clone(), entry.holder.token);
+        if self.state.borrow().spent_tokens.contains(&spent_token) {
+            return self.request_token(TokenRequest::Moving(entry.holder.token));
+        }
         let mut handover = None;
         for holder in &entry.leaving {
             // The token just below the new one is not assigned to anyone.
@@ -213,18 +226,15 @@
         fence_token: u64,
     ) -> Option<Option<String>> {
         let (range, instance) = (entry.range, &holder.instance);
-        let mut token = holder.token;
-        let mut is_logged = false;
+        let (mut is_fenced, mut is_logged) = (false, false);
         loop {
             if !self.may_order(entry) {
                 return None;
             }
             let now = self.clock.now();
-            if self.state.borrow_mut().unanswered_until(instance, range, now).is_some()
-                && token < fence_token
-                && self.fence_unanswered_grants(entry, instance, fence_token).await
-            {
-                token = fence_token;
+            let unanswered = self.state.borrow_mut().unanswered_until(instance, range, now);
+            if unanswered.is_some() && !is_fenced {
+                is_fenced = self.fence_unanswered_grants(entry, instance, fence_token).await;
             }
             if self.state.borrow().ended.contains(instance) {
                 self.log_revoked(range, holder, RevokeProof::OtherServerAnswered);
@@ -249,7 +259,9 @@
             // A silent server must not delay the end of this wait beyond that of its grants.
             let max_wait = RELEASE_TIMEOUT.min(hold_end.since(self.clock.now()));
             let may_send = |now| self.state.borrow().may_order(&self.service, entry, now);
-            match self.orders.release(instance, range, token, max_wait, may_send).await {
+            // A release under the reserved token also makes the server reject grants of earlier leases
+            // that take effect late.
+            match self.orders.release(instance, range, fence_token, max_wait, may_send).await {
                 OrderOutcome::Done(handover) => {
                     let now = self.clock.now();
                     // An unanswered grant may still reach the server after the release.
@@ -264,7 +276,7 @@
                 outcome if !is_logged => {
                     is_logged = true;
                     info!(self.log, "release-failed"; "server" => %instance.server,
-                        "token" => token, "end" => ?outcome);
+                        "token" => holder.token, "end" => ?outcome);
                 }
                 _ => (),
             }
--- a/crates/entry/src/orders.rs
+++ b/crates/entry/src/orders.rs
@@ -34,13 +34,15 @@
     /// A renewal was not sent, because the connection on which this instance acknowledged the token
     /// is lost.
     LineLost,
+    /// Not sent, because an earlier grant under the token had no answer.
+    TokenSpent,
 }
 
 impl OrderOutcome {
     /// Whether the grant must be repeated under a larger token: the server has seen a larger one, or
     /// an earlier run of it may have accepted this one.
     pub fn needs_token(&self) -> bool {
-        matches!(self, Self::Superseded | Self::Silent(_) | Self::LineLost)
+        matches!(self, Self::Superseded | Self::Silent(_) | Self::LineLost | Self::TokenSpent)
     }
 }
 
@@ -254,10 +256,10 @@
 /// Time by which a hold that began at `arrived_at` or before has certainly expired at a server with a
 /// slow clock.
 pub fn hold_end(arrived_at: MonoTime, hold: Duration) -> MonoTime {
-    arrived_at + hold.mul_f64(1.0 + MAX_CLOCK_DRIFT)
+    arrived_at + hold.div_f64(1.0 - MAX_CLOCK_DRIFT)
 }
 
-/// Maximum clock drift of a server, as a fraction.
+/// By how much a server's clock may be slow, as a fraction.
 const MAX_CLOCK_DRIFT: f64 = 0.02;
 
 /// Allowance for an order that has left this VM when its connection is reset.
