entry: wait for the holders of all earlier leases, not only of the last one

A new assigner waits until its predecessor has certainly stopped, unless that one has resigned or was an earlier run on the same VM. That one may have been acquired only a moment before, while the holder of the lease before it (revoked early, cut from the store) was still sending orders: keys moved at once. Now a resignation says for how long orders of earlier leases may still arrive, and the successor waits for that too; a run that has ended without resigning leaves no such word, so its successor on the VM acquires the lease at once as before, but waits before it moves keys. Until keys may move, no grants are renewed for holders that are not listed any more. The three bounds on earlier leases are one type, EarlierLeases. Ruled out: always the full wait after a planned restart (a server that had left got its keys again in the meantime: a_restarted_entry_uses_nothing_that_was_withdrawn_while_it_was_down failed).

--- a/crates/entry/src/assigner.rs
+++ b/crates/entry/src/assigner.rs
@@ -3,8 +3,8 @@
 //! Only the lease holder changes a shard record, in a transaction that checks the revisions of both
 //! the assigner's record and the shard record. Orders are sent only while the lease is certainly
 //! held. A new assigner first gives every settled holder a larger fencing token, so that servers
-//! reject its predecessor's orders. It moves keys only after the predecessor's lease has expired by
-//! any clock, because the store may drop a lease early.
+//! reject its predecessor's orders. It moves keys only after the predecessor has resigned, or its
+//! lease has expired by any clock, because the store may drop a lease early.
 
 mod campaign;
 mod order_executor;
@@ -280,7 +280,7 @@
             self.term.grants_renewed_at.clear();
         }
         let snapshot = self.channel.current();
-        self.send_orders(&snapshot, lease, now);
+        self.send_orders(&snapshot, now);
     }
 
     async fn handle_order_event(&mut self, event: OrderEvent) {
@@ -309,13 +309,14 @@
     }
 
     /// Starts a task for each order that is due and not already in progress.
-    fn send_orders(&mut self, snapshot: &StateSnapshot, lease: HeldLease, now: MonoTime) {
+    fn send_orders(&mut self, snapshot: &StateSnapshot, now: MonoTime) {
         let hold = if self.is_store_stale {
             self.settings.max_hold
         } else {
             self.settings.max_hold.min(NORMAL_HOLD)
         };
         self.term.state.borrow_mut().prune(now);
+        let may_move_at = self.term.state.borrow().earlier.may_move_at;
         for (service, stored) in &snapshot.shards {
             self.term.state.borrow_mut().records.insert(service.clone(), stored.record.clone());
             self.revisions.insert(service.clone(), stored.revision);
@@ -325,12 +326,15 @@
             }
             let mut settled: BTreeMap<ServerInstance, Vec<ShardEntry>> = BTreeMap::new();
             for entry in &stored.record.entries {
+                let is_listed = snapshot.servers.contains_key(&entry.holder.instance.server);
                 match entry.is_settled() {
+                    // Its keys move as soon as they may.
+                    true if !is_listed && now < may_move_at => (),
                     true => settled
                         .entry(entry.holder.instance.clone())
                         .or_default()
                         .push(entry.clone()),
-                    false if now >= lease.may_move_at => {
+                    false if now >= may_move_at => {
                         self.start_move(service, entry, hold, now);
                     }
                     false => (),
--- a/crates/entry/src/assigner/campaign.rs
+++ b/crates/entry/src/assigner/campaign.rs
@@ -1,6 +1,6 @@
 //! Acquires, renews and resigns the assigner's lease.
 
-use super::{order_state::LEASE_VALIDITY, *};
+use super::{order_state::EarlierLeases, *};
 
 /// Duration of the assigner's lease in the store.
 pub(super) const LEASE_LENGTH: Duration = Duration::from_millis(2_000);
@@ -14,9 +14,6 @@
 /// Minimum time between attempts at a failing lease renewal.
 const LEASE_RETRY: Duration = Duration::from_millis(200);
 
-/// Time after the lease is acquired by which a predecessor has certainly stopped sending orders.
-const PREDECESSOR_WAIT: Duration = Duration::from_millis(2_200);
-
 /// Additional delay per rank before a VM campaigns; VMs are ranked by capacity.
 const CAMPAIGN_STAGGER: Duration = Duration::from_millis(120);
 
@@ -61,28 +58,21 @@
         self.vacant_since = Some(now);
         match self.acquire(snapshot).await {
             Ok((lease, revision, requested_at)) => {
-                let is_free = is_own_earlier_run || has_resigned;
-                let now = self.clock.now();
-                // A process that has ended or resigned waits for no answers any more.
-                let (may_move_at, earlier_grants_arrive_by) = match is_free {
-                    true => (now, now + TRANSIT_MARGIN),
-                    false => (now + PREDECESSOR_WAIT, latest_arrival(now + LEASE_VALIDITY)),
+                let (now, max_hold) = (self.clock.now(), self.settings.max_hold);
+                let earlier = match predecessor.filter(|it| it.record.has_resigned) {
+                    Some(it) => {
+                        let orders_end_at =
+                            now + Duration::from_millis(it.record.earlier_orders_ms);
+                        EarlierLeases::resigned(orders_end_at, max_hold)
+                    }
+                    None => EarlierLeases::lost(now, max_hold),
                 };
                 info!(self.log, "assigner-acquired"; "revision" => revision,
                     "own-earlier-run" => is_own_earlier_run, "resigned" => has_resigned);
+                let renewed_at = requested_at;
                 self.term = AssignerTerm::new(OrderState {
-                    lease: Some(HeldLease {
-                        lease,
-                        revision,
-                        renewed_at: requested_at,
-                        may_move_at,
-                    }),
-                    earlier_grants_arrive_by,
-                    // A predecessor without the store gives the longest holds until its lease ends.
-                    earlier_grants_end_at: hold_end(
-                        earlier_grants_arrive_by,
-                        self.settings.max_hold,
-                    ),
+                    lease: Some(HeldLease { lease, revision, renewed_at }),
+                    earlier,
                     ..OrderState::default()
                 });
                 self.publish_own_record(revision);
@@ -95,16 +85,17 @@
     /// Publishes this process as the assigner before the change arrives from the store.
     pub(super) fn publish_own_record(&self, revision: u64) {
         let mut cache = self.cache.borrow_mut();
-        cache.set_assigner(StoredAssigner { revision, record: self.own_record(false) });
+        cache.set_assigner(StoredAssigner { revision, record: self.own_record() });
         self.channel.publish(&mut cache);
     }
 
-    pub(super) fn own_record(&self, has_resigned: bool) -> AssignerRecord {
+    pub(super) fn own_record(&self) -> AssignerRecord {
         AssignerRecord {
             vm: self.settings.vm.clone(),
             incarnation: self.incarnation,
             reports: self.settings.reports,
-            has_resigned,
+            has_resigned: false,
+            earlier_orders_ms: 0,
         }
     }
 
@@ -114,7 +105,7 @@
     ) -> Result<(LeaseId, u64, MonoTime), StoreError> {
         let requested_at = self.clock.now();
         let lease = self.store.open_lease(LEASE_LENGTH, STORE_TIMEOUT).await?;
-        let record = self.own_record(false);
+        let record = self.own_record();
         let predecessor = snapshot.assigner.as_ref().map_or(0, |it| it.revision);
         let change = RecordChange {
             expected: vec![(ASSIGNER_RECORD.to_owned(), predecessor)],
@@ -170,7 +161,12 @@
         while self.term.state.borrow().is_answer_awaited() {
             sleep(AWAIT_INTERVAL).await;
         }
-        let record = self.own_record(true);
+        let orders_left = self.term.state.borrow().earlier.orders_left(self.clock.now());
+        let record = AssignerRecord {
+            has_resigned: true,
+            earlier_orders_ms: orders_left.as_millis() as u64 + 1,
+            ..self.own_record()
+        };
         let change = RecordChange {
             expected: vec![(ASSIGNER_RECORD.to_owned(), lease.revision)],
             writes: vec![(ASSIGNER_RECORD.to_owned(), encode_record(&record), None)],
--- a/crates/entry/src/assigner/order_state.rs
+++ b/crates/entry/src/assigner/order_state.rs
@@ -3,10 +3,15 @@
 use super::*;
 
 /// Time for which the lease is certainly held, counted from when its last renewal was sent.
-pub(super) const LEASE_VALIDITY: Duration = Duration::from_millis(1_750);
+const LEASE_VALIDITY: Duration = Duration::from_millis(1_750);
 
 const _: () = assert!(LEASE_VALIDITY.as_millis() < campaign::LEASE_LENGTH.as_millis());
 
+/// Time after the lease is acquired by which a predecessor has certainly stopped sending orders.
+const PREDECESSOR_WAIT: Duration = Duration::from_millis(2_200);
+
+const _: () = assert!(LEASE_VALIDITY.as_millis() < PREDECESSOR_WAIT.as_millis());
+
 /// Number of acknowledged grants from which outdated entries are pruned.
 const MAX_KEPT_GRANTS: usize = 2_048;
 
@@ -18,8 +23,6 @@
     pub(super) revision: u64,
     /// When the last successful renewal was sent; before the first, when the lease was requested.
     pub(super) renewed_at: MonoTime,
-    /// When a predecessor's lease has certainly expired, so that keys may be moved.
-    pub(super) may_move_at: MonoTime,
 }
 
 impl HeldLease {
@@ -28,6 +31,42 @@
     }
 }
 
+/// Bounds on what holders of earlier leases may still do.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct EarlierLeases {
+    /// When they have certainly stopped sending orders, so that keys may be moved.
+    pub(super) may_move_at: MonoTime,
+    /// Time by which all their grants have arrived, or never will.
+    grants_arrive_by: MonoTime,
+    /// Time by which all their grants have certainly expired.
+    grants_end_at: MonoTime,
+}
+
+impl EarlierLeases {
+    /// After the holder of the last one has resigned; orders of those before it may arrive until
+    /// `orders_end_at`.
+    pub(super) fn resigned(orders_end_at: MonoTime, max_hold: Duration) -> Self {
+        Self::new(orders_end_at, orders_end_at + TRANSIT_MARGIN, max_hold)
+    }
+
+    /// After the store has dropped the last one, which its holder may not know yet.
+    pub(super) fn lost(now: MonoTime, max_hold: Duration) -> Self {
+        let arrive_by = latest_arrival(now + LEASE_VALIDITY);
+        Self::new(now + PREDECESSOR_WAIT, arrive_by, max_hold)
+    }
+
+    fn new(may_move_at: MonoTime, grants_arrive_by: MonoTime, max_hold: Duration) -> Self {
+        // Without the store, a holder gives the longest holds.
+        let grants_end_at = hold_end(grants_arrive_by, max_hold);
+        Self { may_move_at, grants_arrive_by, grants_end_at }
+    }
+
+    /// Time left in which orders of earlier leases may arrive.
+    pub(super) fn orders_left(&self, now: MonoTime) -> Duration {
+        self.may_move_at.max(self.grants_arrive_by).since(now)
+    }
+}
+
 /// State that the assigner shares with its order tasks.
 #[derive(Debug, Default)]
 pub(super) struct OrderState {
@@ -37,10 +76,8 @@
     pub(super) grants_end_at: BTreeMap<ServerInstance, MonoTime>,
     /// The same for the grant to a server whose answer is awaited.
     pub(super) awaited_grants_end_at: BTreeMap<ServerInstance, MonoTime>,
-    /// Time by which all grants that were sent under earlier leases have arrived, or never will.
-    pub(super) earlier_grants_arrive_by: MonoTime,
-    /// Time by which they have certainly expired.
-    pub(super) earlier_grants_end_at: MonoTime,
+    /// Bounds on what holders of earlier leases may still do.
+    pub(super) earlier: EarlierLeases,
     /// Grants that their holders have acknowledged: service, keys and token.
     pub(super) acked: BTreeSet<(ServiceName, KeyRange, u64)>,
     /// Tokens of grants without an answer: a run of the server that has ended since may have
@@ -112,7 +149,7 @@
         let own_end = end_in(&self.grants_end_at).max(end_in(&self.awaited_grants_end_at));
         match self.has_acked(service, range, holder) {
             true => own_end,
-            false => own_end.max(self.earlier_grants_end_at),
+            false => own_end.max(self.earlier.grants_end_at),
         }
     }
 
@@ -131,9 +168,8 @@
         holder: &ShardHolder,
         now: MonoTime,
     ) -> Option<MonoTime> {
-        let may_arrive = now < self.earlier_grants_arrive_by;
-        (may_arrive && !self.has_acked(service, range, holder))
-            .then_some(self.earlier_grants_arrive_by)
+        let arrive_by = self.earlier.grants_arrive_by;
+        (now < arrive_by && !self.has_acked(service, range, holder)).then_some(arrive_by)
     }
 
     fn is_lease_held(&self, now: MonoTime) -> bool {
--- a/crates/entry/src/assigner/planning.rs
+++ b/crates/entry/src/assigner/planning.rs
@@ -28,7 +28,8 @@
             Some(draft) => self.prepare_draft(service, draft),
             None => false,
         };
-        let is_move_allowed = now >= lease.may_move_at || draft.is_none();
+        let may_move_at = self.term.state.borrow().earlier.may_move_at;
+        let is_move_allowed = now >= may_move_at || draft.is_none();
         let planned = match is_move_allowed {
             true => self.plan(service, draft.as_ref(), &servers, now),
             false => None,
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -132,6 +132,9 @@
     pub reports: SocketAddr,
     /// Whether it has resigned, so that a successor need not wait for the lease to expire.
     pub has_resigned: bool,
+    /// Milliseconds after its resignation within which orders of earlier leases may still arrive.
+    #[serde(default)]
+    pub earlier_orders_ms: u64,
 }
 
 /// Presence record of an entry VM, stored under a lease.
--- a/crates/entry/tests/it/change_source.rs
+++ b/crates/entry/tests/it/change_source.rs
@@ -101,7 +101,13 @@
 fn the_assigners_vm_is_no_relay_while_its_domain_has_another_vm() {
     let mut snapshot = snapshot();
     let reports = snapshot.vms[&vm("a-2")].reports;
-    let record = AssignerRecord { vm: vm("a-2"), incarnation: 1, reports, has_resigned: false };
+    let record = AssignerRecord {
+        vm: vm("a-2"),
+        incarnation: 1,
+        reports,
+        has_resigned: false,
+        earlier_orders_ms: 0,
+    };
     snapshot.assigner = Some(StoredAssigner { revision: 4, record });
     assert_eq!(snapshot.relays(&domain("a")), [&vm("a-1"), &vm("a-2")]);
     assert_eq!(snapshot.relays(&domain("b")), [&vm("b-2"), &vm("b-1")]);
--- a/crates/entry/tests/it/fleet.rs
+++ b/crates/entry/tests/it/fleet.rs
@@ -337,6 +337,7 @@
                 incarnation: 1,
                 reports: vm.presence.reports,
                 has_resigned: false,
+                earlier_orders_ms: 0,
             };
             Bytes::from(serde_json::to_vec(&record).expect("encoded"))
         });
--- a/crates/ownership/tests/it/shards.rs
+++ b/crates/ownership/tests/it/shards.rs
@@ -340,6 +340,9 @@
     let delta = ShardDelta::between(old, new);
     assert_eq!(delta.apply(old).as_ref(), Some(new));
     for entry in &new.entries {
+        let reserved = entry.holder.token.wrapping_sub(1);
+        let mut holders = new.entries.iter().flat_map(|it| it.leaving.iter().chain([&it.holder]));
+        assert!(entry.is_settled() || holders.all(|it| it.token != reserved), "{entry:?}");
         for before in old.entries.iter().filter(|it| it.range.overlaps(entry.range)) {
             assert!(entry.holder.token >= before.holder.token, "tokens never decrease");
             let earlier = before.leaving.iter().chain([&before.holder]);
