--- a/crates/entry/src/assigner/order_state.rs
+++ b/crates/entry/src/assigner/order_state.rs
@@ -80,11 +80,10 @@
     pub(super) earlier: EarlierLeases,
     /// Grants that their holders have acknowledged: service, keys and token.
     pub(super) acked: BTreeSet<(ServiceName, KeyRange, u64)>,
-    /// Tokens of grants without an answer: a run of the server that has ended since may have
-    /// accepted them, so that its next run must not get them.
+    /// Tokens that must not be granted for the first time again. A run of the server that has ended
+    /// since may have accepted one without an answer, or an earlier holder had it for fencing.
     pub(super) spent_tokens: BTreeSet<(ServiceName, u64)>,
-    /// Current shard records; a grant that they do not contain is not sent, except to fence off
-    /// earlier grants.
+    /// Current shard records; an order that none of their entries requires is not sent.
     pub(super) records: BTreeMap<ServiceName, Arc<ShardRecord>>,
     /// Server instances that have ended: another server answers at their address.
     pub(super) ended: BTreeSet<ServerInstance>,
