entry: keep the order of a server's reports when the store carries out a write late

Cause: the cached state took the order of the store's writes for the order of a server's reports. A write without an answer may be carried out seconds later; the server's own order (start time, number of the report) was decoded and dropped. Related paths with the same cause: a late write of an earlier instance ended the living one, a late write brought back a server that was gone, and a relay that had just started undid what its followers knew.

Change: entries carry their report number, the cache keeps the newest report of each server, also for 10 s after it has gone, and ignores older ones on every way in. Calls between VMs name their encoding, as a VM of another release would decode an entry into something else; both sides refuse another one.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -48,8 +48,8 @@
 pub use permits::{PermitClient, PermitReply, PermitRequest, SharedKeeper};
 pub use plan::{CallerLimits, PlanRoute, RoutePlan, RouteTarget, ServiceSettings};
 pub use ports::{
-    BatchScope, ChangeBatch, ChangeEvent, HeaderNames, LeaseId, RecordChange, ServerEntry,
-    ServerFormat, StateStore, StoreError,
+    BatchScope, ChangeBatch, ChangeEvent, HeaderNames, LeaseId, RecordChange, ReportOrder,
+    ServerEntry, ServerFormat, StateStore, StoreError,
 };
 pub use run::{SettingsSource, run_entry, run_entry_until};
 pub use server_reports::{Outgoing, ReportBatch, ReportCache, ServerReport};
--- a/crates/entry/src/ports.rs
+++ b/crates/entry/src/ports.rs
@@ -30,13 +30,31 @@
     pub cold_left: Duration,
     /// Start time in Unix milliseconds; identifies the instance.
     pub born: u64,
+    /// Number of the report among those of the instance; counts up.
+    pub sequence: u64,
 }
 
 impl ServerEntry {
-    /// Whether both are equal but for the remaining warm-up time, which each report shows anew.
-    pub fn is_equal_but_for_cold_time(&self, other: &Self) -> bool {
-        *self == Self { cold_left: self.cold_left, ..other.clone() }
+    /// Position among all reports under the server's name. The store may carry out a write later than
+    /// those that were sent after it.
+    pub fn report_order(&self) -> ReportOrder {
+        ReportOrder { born: self.born, sequence: self.sequence }
     }
+
+    /// Whether both are equal but for the remaining warm-up time and the number of the report, which
+    /// each report shows anew.
+    pub fn is_equal_but_for_heartbeat(&self, other: &Self) -> bool {
+        *self == Self { cold_left: self.cold_left, sequence: self.sequence, ..other.clone() }
+    }
+}
+
+/// Order in which the reports under one server's name were made: by instance, then by number.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ReportOrder {
+    /// Start time of the instance in Unix milliseconds.
+    pub born: u64,
+    /// Number of the report among those of the instance.
+    pub sequence: u64,
 }
 
 /// A change of the state, from the store's change stream or from another VM.
--- a/crates/entry/src/state_cache.rs
+++ b/crates/entry/src/state_cache.rs
@@ -17,6 +17,8 @@
 
 use crate::{BatchScope, ChangeBatch, ChangeEvent, RelayBatch, StateSnapshot, StoredShards};
 
+use servers::LatestReport;
+
 /// Name of the assigner's record.
 pub const ASSIGNER_RECORD: &str = "assigner";
 
@@ -55,6 +57,8 @@
     is_incomplete: bool,
     /// Servers whose entries can't be decoded, each of which has been logged.
     unreadable: BTreeSet<ServerName>,
+    /// The newest report of each server, also of those that have gone shortly before.
+    latest_reports: BTreeMap<ServerName, LatestReport>,
     /// When a call to the store last failed; `None` once a complete read has been requested.
     store_failed_at: Option<MonoTime>,
     /// Whether servers have joined or left since they were last indexed by service.
@@ -76,6 +80,7 @@
             is_difference: false,
             is_incomplete: false,
             unreadable: BTreeSet::new(),
+            latest_reports: BTreeMap::new(),
             store_failed_at: None,
             is_index_stale: false,
             has_complete_state: false,
@@ -226,7 +231,7 @@
                 if self.unreadable.insert(name.clone()) {
                     warn!(self.log, "server-unreadable"; "server" => %name, "cause" => cause);
                 }
-                self.drop_server(&name)
+                self.drop_server(&name, now)
             }
             ChangeEvent::Evacuation(domain, true) => {
                 let is_new = !self.snapshot.evacuated.contains_key(&domain);
--- a/crates/entry/src/state_cache/servers.rs
+++ b/crates/entry/src/state_cache/servers.rs
@@ -5,7 +5,7 @@
 use model::{MonoTime, ServerName};
 use slog::info;
 
-use crate::{CachedServer, LeaveStart, ServerEntry};
+use crate::{CachedServer, LeaveStart, ReportOrder, ServerEntry};
 
 use super::StateCache;
 
@@ -13,7 +13,48 @@
 /// that the server has become cold again.
 const COLD_TIME_TOLERANCE: Duration = Duration::from_millis(500);
 
+/// Longest time after a report of an instance for which the store may still carry out writes that were
+/// sent before it.
+const LATE_WRITE_LIMIT: Duration = Duration::from_secs(10);
+
+/// The newest report of a server, kept also for a while after the server has gone.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct LatestReport {
+    order: ReportOrder,
+    received_at: MonoTime,
+}
+
+impl LatestReport {
+    /// Whether a report of this order was made before the latest one, and carried out late. A smaller
+    /// start time counts only as long as a late write is possible: the clock that the start time is
+    /// taken from may have been set back between two starts.
+    fn is_newer_than(&self, order: ReportOrder, now: MonoTime) -> bool {
+        let is_late_write_possible = now.since(self.received_at) < LATE_WRITE_LIMIT;
+        match order.born == self.order.born {
+            true => order.sequence < self.order.sequence,
+            false => order.born < self.order.born && is_late_write_possible,
+        }
+    }
+}
+
 impl StateCache {
+    /// Whether the store shows an older report of a server than this process has seen already. The
+    /// server's next report replaces it there.
+    fn is_outdated(&self, entry: &ServerEntry, now: MonoTime) -> bool {
+        let Some(latest) = self.latest_reports.get(&entry.name) else {
+            return false;
+        };
+        latest.is_newer_than(entry.report_order(), now)
+    }
+
+    /// Forgets the reports of servers that have been gone for so long that none can be carried out late.
+    fn drop_old_reports(&mut self, now: MonoTime) {
+        let servers = &self.snapshot.servers;
+        self.latest_reports.retain(|name, it| {
+            servers.contains_key(name) || now.since(it.received_at) < LATE_WRITE_LIMIT
+        });
+    }
+
     /// Since when what was in service in the state before this batch, and no longer is, has been
     /// leaving.
     pub(super) fn leave_start(&self) -> LeaveStart {
@@ -29,6 +70,13 @@
         entry: ServerEntry,
         now: MonoTime,
     ) -> bool {
+        if self.is_outdated(&entry, now) {
+            info!(self.log, "server-report-outdated"; "server" => %name, "born" => entry.born,
+                "sequence" => entry.sequence, "leaving" => entry.is_draining);
+            return false;
+        }
+        let latest = LatestReport { order: entry.report_order(), received_at: now };
+        self.latest_reports.insert(name.clone(), latest);
         let cold_until = now + entry.cold_left;
         let leave_start = self.leave_start();
         let cached = Arc::make_mut(&mut self.snapshot.servers).get_mut(&name);
@@ -39,7 +87,7 @@
                 let was_missing = std::mem::take(&mut cached.is_missing);
                 let is_cold = cold_until > now;
                 let is_changed = was_missing
-                    || !cached.entry.is_equal_but_for_cold_time(&entry)
+                    || !cached.entry.is_equal_but_for_heartbeat(&entry)
                     || (cached.cold_until > now) != is_cold
                     || (is_cold && cold_until > cached.cold_until + COLD_TIME_TOLERANCE);
                 // A server that is still draining keeps its time.
@@ -82,7 +130,7 @@
     /// Removes a server whose entry is gone. Around an outage of the store it only counts as missing.
     pub(super) fn remove_server(&mut self, name: &ServerName, now: MonoTime) -> bool {
         if !self.is_lapse_possible(now) {
-            return self.drop_server(name);
+            return self.drop_server(name, now);
         }
         let Some(server) = Arc::make_mut(&mut self.snapshot.servers).get_mut(name) else {
             return false;
@@ -92,12 +140,16 @@
     }
 
     /// Removes a server that must not be used any more.
-    pub(super) fn drop_server(&mut self, name: &ServerName) -> bool {
+    pub(super) fn drop_server(&mut self, name: &ServerName, now: MonoTime) -> bool {
         // Avoids a copy of the shared map for an entry that is written again and again.
         if !self.snapshot.servers.contains_key(name) {
             return false;
         }
         info!(self.log, "server-gone"; "server" => %name);
+        self.drop_old_reports(now);
+        if let Some(latest) = self.latest_reports.get_mut(name) {
+            latest.received_at = now;
+        }
         Arc::make_mut(&mut self.snapshot.servers).remove(name);
         self.is_index_stale = true;
         true
--- a/crates/entry/tests/it/change_faults.rs
+++ b/crates/entry/tests/it/change_faults.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use entry::{ChangeEvent, ServerEntry, StateSnapshot};
+use entry::{ChangeEvent, ReportOrder, ServerEntry, StateSnapshot};
 use model::VmName;
 use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom};
 use tokio::{task::LocalSet, time::sleep};
@@ -39,6 +39,8 @@
     faults: BTreeMap<VmName, (VmFault, Instant)>,
     /// When each VM's last fault ended.
     calm_since: BTreeMap<VmName, Instant>,
+    /// Position of the newest report of the servers; each has a later one.
+    newest_report: ReportOrder,
     /// When each plan was put into force; the first has version 2.
     plans: Vec<Instant>,
     newest_seen: BTreeMap<VmName, u64>,
@@ -95,7 +97,10 @@
     /// Changes a server, an evacuation, the assigner or the plan.
     fn change_state(&mut self, now: Instant) {
         let name = format!("s-{}", self.rng.random_range(0..6));
-        let entry = ServerEntry { born: self.rng.random_range(7..9), ..server(&name) };
+        let ReportOrder { born, sequence } = &mut self.newest_report;
+        *sequence += 1;
+        *born += u64::from(self.rng.random::<bool>());
+        let entry = ServerEntry { born: *born, sequence: *sequence, ..server(&name) };
         let domain = entry.domain.clone();
         let store = self.fleet.store.clone();
         match self.rng.random_range(0..7) {
@@ -170,12 +175,12 @@
     }
 }
 
-/// Drops what a VM need not keep as it was read: the revisions of records and the remaining time of
-/// cold servers.
+/// Drops what a VM need not keep as it was read: the revisions of records, and the remaining time of
+/// cold servers and the number of their report.
 fn comparable(event: ChangeEvent) -> ChangeEvent {
     match event {
         ChangeEvent::Server(name, Some(entry)) => {
-            let entry = ServerEntry { cold_left: Duration::ZERO, ..entry };
+            let entry = ServerEntry { cold_left: Duration::ZERO, sequence: 0, ..entry };
             ChangeEvent::Server(name, Some(entry))
         }
         ChangeEvent::Record { name, value, .. } => ChangeEvent::Record { name, revision: 0, value },
@@ -192,6 +197,7 @@
         calm_since: BTreeMap::new(),
         plans: Vec::new(),
         newest_seen: BTreeMap::new(),
+        newest_report: server("s-0").report_order(),
         violations: Vec::new(),
     };
     let started = Instant::now();
--- a/crates/entry/tests/it/fixtures.rs
+++ b/crates/entry/tests/it/fixtures.rs
@@ -16,5 +16,6 @@
         is_draining: false,
         cold_left: Duration::ZERO,
         born: 7,
+        sequence: 0,
     }
 }
--- a/crates/entry/tests/it/main.rs
+++ b/crates/entry/tests/it/main.rs
@@ -9,4 +9,5 @@
 mod datagrams;
 mod fixtures;
 mod fleet;
+mod report_order;
 mod state_cache;
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -160,6 +160,7 @@
         let head = http::Request::builder()
             .method("POST")
             .uri(format!("http://{address}/"))
+            .header(codec::ENCODING_HEADER, codec::ENCODING)
             .body(())
             .map_err(|err| StepError::new("build-request", address, err))?;
         let (response, stream) = self
@@ -168,6 +169,7 @@
             .map_err(|err| StepError::new("send-request", address, err))?;
         codec::write_body(stream, body).await?;
         let response = response.await.map_err(|err| StepError::new("await-reply", address, err))?;
+        codec::check_encoding(response.headers())?;
         let body = codec::read_body(response.into_body()).await?;
         self.client.inner.bytes.add(body.len());
         codec::decode(&body)
--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -8,6 +8,22 @@
 /// (4 MiB).
 pub(crate) const MAX_MESSAGE_BYTES: usize = 8 * 1024 * 1024;
 
+/// Header that names the encoding of a message, on requests and replies. The encoding doesn't describe
+/// itself: a message of another release could be decoded into something else.
+pub(crate) const ENCODING_HEADER: &str = "jackdaw-encoding";
+
+/// The encoding of this release; changes with each type that is part of a message.
+pub(crate) const ENCODING: &str = "2";
+
+/// Fails if the sender of these headers encodes messages otherwise, or doesn't name its encoding.
+pub(crate) fn check_encoding(headers: &http::HeaderMap) -> Result<(), StepError> {
+    match headers.get(ENCODING_HEADER) {
+        Some(it) if it == ENCODING => Ok(()),
+        Some(it) => Err(StepError::new("check-encoding", "peer", format!("{it:?}"))),
+        None => Err(StepError::new("check-encoding", "peer", "none named")),
+    }
+}
+
 pub(crate) fn encode<T: Serialize>(message: &T) -> Result<Bytes, StepError> {
     bincode::serde::encode_to_vec(message, bincode::config::standard())
         .map(Bytes::from)
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -87,13 +87,20 @@
     service: S,
     bytes: ByteCounter,
 ) -> Result<(), StepError> {
+    let mut head = http::Response::new(());
+    let encoding = http::HeaderValue::from_static(codec::ENCODING);
+    head.headers_mut().insert(codec::ENCODING_HEADER, encoding);
+    if let Err(err) = codec::check_encoding(request.headers()) {
+        *head.status_mut() = http::StatusCode::BAD_REQUEST;
+        respond.send_response(head, true).map_err(|err| StepError::new("respond", "peer", err))?;
+        return Err(err);
+    }
     let body = codec::read_body(request.into_body()).await?;
     bytes.add(body.len());
     let reply = service.answer(codec::decode(&body)?).await;
     let body = codec::encode(&reply)?;
     bytes.add(body.len());
-    let stream = respond
-        .send_response(http::Response::new(()), false)
-        .map_err(|err| StepError::new("respond", "peer", err))?;
+    let stream =
+        respond.send_response(head, false).map_err(|err| StepError::new("respond", "peer", err))?;
     codec::write_body(stream, body).await
 }
--- a/crates/peer/tests/it/main.rs
+++ b/crates/peer/tests/it/main.rs
@@ -113,3 +113,39 @@
     tokio::spawn(serve_peers(listener, EchoService, ByteCounter::default(), log));
     assert!(client.call(&PeerRequest::Hello, CALL_TIMEOUT).await.is_ok());
 }
+
+/// Guards against messages that are decoded into something else, as a VM of another release encodes
+/// them otherwise: both sides refuse them.
+#[tokio::test]
+async fn messages_of_a_peer_with_another_encoding_are_refused() {
+    let (address, server) = serve().await;
+    for encoding in [None, Some("1")] {
+        let stream = tokio::net::TcpStream::connect(address).await.unwrap();
+        let (mut sender, connection) = h2::client::handshake(stream).await.unwrap();
+        let connection = tokio::spawn(connection);
+        let mut request = http::Request::post(format!("http://{address}/"));
+        if let Some(encoding) = encoding {
+            request = request.header("jackdaw-encoding", encoding);
+        }
+        let (response, mut stream) = sender.send_request(request.body(()).unwrap(), false).unwrap();
+        stream.send_data(Bytes::from_static(&[0]), true).unwrap();
+        assert_eq!(response.await.unwrap().status(), http::StatusCode::BAD_REQUEST);
+        connection.abort();
+    }
+    server.abort();
+
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let earlier_release = tokio::spawn(async move {
+        let (stream, _) = listener.accept().await.unwrap();
+        let mut connection = h2::server::handshake(stream).await.unwrap();
+        while let Some(Ok((_, mut respond))) = connection.accept().await {
+            let mut stream = respond.send_response(http::Response::new(()), false).unwrap();
+            // Its encoding of `PeerReply::Hello`.
+            stream.send_data(Bytes::from_static(&[0, 7]), true).unwrap();
+        }
+    });
+    let error = client(address).call(&PeerRequest::Hello, CALL_TIMEOUT).await.unwrap_err();
+    assert_eq!(error.step, "check-encoding");
+    earlier_release.abort();
+}
