entry: keep the shares of a cold server's rate while VMs are missing from the store

Cause: each VM divides a cold server's rate by the VMs that it lists, once for the whole cold time. After an outage that outlasts the leases of their records, a list has one VM, then two; a VM that has just started counts only itself. The sum over all VMs was up to 2.3 times the rate.

Change: limits are divided among `sharing_vms`: the listed VMs and those listed within the last 30 s. A VM has a share after 5 s in that list, when the others count it. Shares follow a changed list. The same list divides connections and the rate of a VM that keeps a schedule of permits alone.

Three tests of cold_share fail with the old rules put back (18 and 28 requests in one second; 14 in ten seconds).

--- a/crates/entry/src/datagram_tasks.rs
+++ b/crates/entry/src/datagram_tasks.rs
@@ -104,7 +104,7 @@
         let Some(max_rate) = self.backpressure.state(&server.server, server.born).max_rate() else {
             return PermitDecision::Granted(Duration::ZERO);
         };
-        let rate = rank.rate(max_rate, self.channel.current().vms.len());
+        let rate = rank.rate(max_rate, self.channel.current().n_sharing_vms());
         let max_wait = Duration::from_millis(max_wait_ms.into());
         let mut keeper = self.permit_keeper.lock();
         keeper.decide(&server.server, server.born, rank, rate, max_wait, now)
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -62,4 +62,5 @@
 pub use source_selector::{ChangeSource, SourceFailure, SourceSelector};
 pub use state_cache::StateCache;
 pub use state_sync::ChangeFollower;
+pub use stats::ServerStats;
 pub use traffic::{CallerAnswer, CallerRequest, TrafficParts, TrafficServer};
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -37,6 +37,9 @@
     pub assigner_revision: u64,
     /// Entry VMs whose presence record exists.
     pub vms: Arc<BTreeMap<VmName, VmPresence>>,
+    /// VMs among which the limits of servers are divided, each with the time since which this process
+    /// knows it: those that are listed, or were until shortly before.
+    pub sharing_vms: Arc<BTreeMap<VmName, MonoTime>>,
     /// When the store last confirmed this state, directly or through a relay.
     pub synced_at: MonoTime,
     /// Newest store revision that this state reflects.
@@ -77,6 +80,11 @@
     }
 }
 
+/// Time after which a VM that this process has got to know has its share of the limits of servers. In it
+/// the others learn of the VM, and those whose records lapsed in an outage of the store write them again:
+/// two seconds to the next attempt, one for the call, two for the change to arrive.
+const SHARE_DELAY: Duration = Duration::from_millis(5_000);
+
 /// Time for a request to reach the server, by which it is sent before the server's time is over.
 const SEND_MARGIN: Duration = Duration::from_millis(200);
 
@@ -184,6 +192,17 @@
         self.evacuated.contains_key(&server.entry.domain)
     }
 
+    /// Number of VMs among which the limits of servers are divided.
+    pub fn n_sharing_vms(&self) -> usize {
+        self.sharing_vms.len().max(1)
+    }
+
+    /// Whether the VM, this process's own, has its share of the limits of servers: the other VMs count it,
+    /// and it knows them.
+    pub fn has_share(&self, vm: &VmName, now: MonoTime) -> bool {
+        self.sharing_vms.get(vm).is_some_and(|known_at| now.since(*known_at) >= SHARE_DELAY)
+    }
+
     /// VMs of a domain in the order in which they are to relay changes and server reports: by
     /// capacity, but the assigner's VM last, as its orders would delay what it relays.
     pub fn relays(&self, domain: &DomainName) -> Vec<&VmName> {
--- a/crates/entry/src/state_cache.rs
+++ b/crates/entry/src/state_cache.rs
@@ -10,7 +10,7 @@
 };
 
 use bytes::Bytes;
-use model::{DomainName, MonoTime, ServerName, ServiceName};
+use model::{DomainName, MonoTime, ServerName, ServiceName, VmName};
 use ownership::KeyRange;
 use serde::Serialize;
 use slog::{Logger, info, warn};
@@ -59,6 +59,8 @@
     unreadable: BTreeSet<ServerName>,
     /// The newest report of each server, also of those that have gone shortly before.
     latest_reports: BTreeMap<ServerName, LatestReport>,
+    /// When the presence records of VMs that still have their share were removed.
+    departed_vms: BTreeMap<VmName, MonoTime>,
     /// When a call to the store last failed; `None` once a complete read has been requested.
     store_failed_at: Option<MonoTime>,
     /// Whether servers have joined or left since they were last indexed by service.
@@ -81,6 +83,7 @@
             is_incomplete: false,
             unreadable: BTreeSet::new(),
             latest_reports: BTreeMap::new(),
+            departed_vms: BTreeMap::new(),
             store_failed_at: None,
             is_index_stale: false,
             has_complete_state: false,
@@ -138,6 +141,7 @@
             }
         }
         self.update_index();
+        self.drop_departed_vms(now);
         self.is_incomplete |= !is_contiguous;
         if is_contiguous {
             self.snapshot.revision = self.snapshot.revision.max(revision);
@@ -249,7 +253,7 @@
                 is_changed
             }
             ChangeEvent::Record { name, revision, value } => {
-                self.update_record(&name, revision, value)
+                self.update_record(&name, revision, value, now)
             }
             ChangeEvent::Shards(update) => self.apply_shard_update(update),
             ChangeEvent::Unreadable { name, cause } => {
--- a/crates/entry/src/state_cache/records.rs
+++ b/crates/entry/src/state_cache/records.rs
@@ -1,9 +1,9 @@
 //! Records of the entry processes in the cached state: the assigner, the shards and the VMs.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use model::{ServiceName, VmName};
+use model::{MonoTime, ServiceName, VmName};
 use ownership::{ShardDelta, ShardRecord};
 use serde::de::DeserializeOwned;
 use slog::{Logger, warn};
@@ -15,12 +15,18 @@
 
 use super::{ASSIGNER_RECORD, SHARDS_PREFIX, StateCache, VM_PREFIX, encode_record};
 
+/// Time after the removal of a VM's presence record for which the VM keeps its share of the limits of
+/// servers. It may live and send: its lease may have lapsed in an outage, or only its path to the store
+/// is cut.
+const VM_SHARE_RETENTION: Duration = Duration::from_secs(30);
+
 impl StateCache {
     pub(super) fn update_record(
         &mut self,
         name: &str,
         revision: u64,
         value: Option<Bytes>,
+        now: MonoTime,
     ) -> bool {
         if name == ASSIGNER_RECORD {
             return self.update_assigner(revision, value);
@@ -29,7 +35,7 @@
             return self.update_shards(name, service, revision, value);
         }
         if let Some(vm) = name.strip_prefix(VM_PREFIX) {
-            return self.update_vm(name, vm, value);
+            return self.update_vm(name, vm, value, now);
         }
         false
     }
@@ -77,14 +83,25 @@
         self.stored.get(service).map_or(0, |it| it.revision)
     }
 
-    fn update_vm(&mut self, name: &str, vm: &str, value: Option<Bytes>) -> bool {
+    fn update_vm(&mut self, name: &str, vm: &str, value: Option<Bytes>, now: MonoTime) -> bool {
         let Ok(vm) = VmName::try_from(vm) else {
             return false;
         };
         let vms = Arc::make_mut(&mut self.snapshot.vms);
         match value.map(|it| decode_record(name, &it, &self.log)) {
-            None => vms.remove(&vm).is_some(),
+            None => {
+                let was_listed = vms.remove(&vm).is_some();
+                if was_listed {
+                    self.departed_vms.insert(vm, now);
+                }
+                was_listed
+            }
             Some(Some(presence)) => {
+                self.departed_vms.remove(&vm);
+                // A change of the set makes all shares anew.
+                if !self.snapshot.sharing_vms.contains_key(&vm) {
+                    Arc::make_mut(&mut self.snapshot.sharing_vms).insert(vm.clone(), now);
+                }
                 let is_changed = vms.get(&vm) != Some(&presence);
                 vms.insert(vm, presence);
                 is_changed
@@ -94,6 +111,18 @@
         }
     }
 
+    /// Ends the shares of VMs whose records were removed long ago.
+    pub(super) fn drop_departed_vms(&mut self, now: MonoTime) {
+        let snapshot = &mut self.snapshot;
+        self.departed_vms.retain(|vm, removed_at| {
+            let has_share = now.since(*removed_at) < VM_SHARE_RETENTION;
+            if !has_share {
+                Arc::make_mut(&mut snapshot.sharing_vms).remove(vm);
+            }
+            has_share
+        });
+    }
+
     /// Applies a shard update from another VM; returns whether it is contiguous with the cached
     /// record or already part of it.
     pub fn apply_shard_update(&mut self, update: ShardUpdate) -> bool {
--- a/crates/entry/src/stats.rs
+++ b/crates/entry/src/stats.rs
@@ -1,6 +1,8 @@
 //! Statistics that a traffic thread keeps of each server and service, with the pacing of cold
 //! servers and the retry budget.
 
+use std::{collections::BTreeMap, sync::Arc};
+
 use model::{MonoTime, VmName};
 use policy::{ColdPacer, LoadEstimator, RetryBudget};
 
@@ -21,9 +23,43 @@
     pub estimator: LoadEstimator,
     /// Until when there is no permit for it, according to its keeper.
     pub next_permit_at: MonoTime,
-    /// Set while the server is cold; `Some(None)` if this router has no part of its allowance, or
-    /// the plan lacks its service.
-    cold_pacer: Option<Option<ColdPacer>>,
+    /// Set while the server is cold.
+    cold_share: Option<ColdShare>,
+    /// When the last request was sent to it.
+    sent_at: Option<MonoTime>,
+}
+
+/// This router's share of the rate at a cold server.
+#[derive(Debug, Clone)]
+struct ColdShare {
+    /// VMs that it was made for.
+    vms: Arc<BTreeMap<VmName, MonoTime>>,
+    /// `None` if only other routers may send, or the plan lacks the server's service.
+    pacer: Option<ColdPacer>,
+}
+
+impl ColdShare {
+    fn new(
+        server: &CachedServer,
+        router: &VmName,
+        snapshot: &StateSnapshot,
+        sent_at: Option<MonoTime>,
+        now: MonoTime,
+    ) -> Self {
+        let vms = snapshot.sharing_vms.clone();
+        let plan = snapshot.plan.as_ref();
+        let settings = plan.and_then(|it| it.services.get(&server.entry.service));
+        let pacer = settings.and_then(|it| {
+            let routers: Vec<VmName> = vms.keys().cloned().collect();
+            let rate = it.cold_requests_per_s;
+            let mut pacer = ColdPacer::new(&server.entry.name, router, &routers, rate, now)?;
+            if let Some(sent_at) = sent_at {
+                pacer.note_earlier_send(sent_at);
+            }
+            Some(pacer)
+        });
+        Self { vms, pacer }
+    }
 }
 
 impl ServerStats {
@@ -33,12 +69,13 @@
             born,
             estimator: LoadEstimator::new(slots),
             next_permit_at: MonoTime::default(),
-            cold_pacer: None,
+            cold_share: None,
+            sent_at: None,
         }
     }
 
-    /// Whether a request may be sent now: always to a warm server, at its pacer's rate to a cold
-    /// one.
+    /// Whether a request may be sent now: always to a warm server, and to a cold one at the rate of this
+    /// router's share, which follows the VMs.
     pub fn may_send(
         &mut self,
         server: &CachedServer,
@@ -47,21 +84,25 @@
         now: MonoTime,
     ) -> bool {
         if server.cold_until <= now {
-            self.cold_pacer = None;
+            self.cold_share = None;
             return true;
         }
-        let pacer = self.cold_pacer.get_or_insert_with(|| {
-            let settings = snapshot.plan.as_ref()?.services.get(&server.entry.service)?;
-            let routers: Vec<VmName> = snapshot.vms.keys().cloned().collect();
-            ColdPacer::new(&server.entry.name, router, &routers, settings.cold_requests_per_s, now)
-        });
-        pacer.as_ref().is_some_and(|it| it.is_ready(now))
+        if !snapshot.has_share(router, now) {
+            return false;
+        }
+        self.cold_share.take_if(|it| !Arc::ptr_eq(&it.vms, &snapshot.sharing_vms));
+        let sent_at = self.sent_at;
+        let share = self
+            .cold_share
+            .get_or_insert_with(|| ColdShare::new(server, router, snapshot, sent_at, now));
+        share.pacer.as_ref().is_some_and(|it| it.is_ready(now))
     }
 
     /// Records the start of a request.
     pub fn begin(&mut self, now: MonoTime) {
         self.estimator.begin(now);
-        if let Some(Some(pacer)) = &mut self.cold_pacer {
+        self.sent_at = Some(now);
+        if let Some(pacer) = self.cold_share.as_mut().and_then(|it| it.pacer.as_mut()) {
             pacer.note_sent(now);
         }
     }
--- a/crates/entry/src/traffic/choice.rs
+++ b/crates/entry/src/traffic/choice.rs
@@ -132,7 +132,7 @@
         let mean_seconds = state.mean_seconds(&request.service);
         // Costs are divided by the objective, which must not be zero.
         let objective = request.route.latency_objective.as_secs_f64().max(0.001);
-        let n_vms = snapshot.vms.len().max(1) as f64;
+        let n_vms = snapshot.n_sharing_vms() as f64;
         let settings = snapshot.plan.as_ref().and_then(|it| it.services.get(&request.service));
         let connections = settings.map_or(f64::MAX, |it| f64::from(it.connections));
         // This router's part of the connections, but at least one.
--- a/crates/entry/src/traffic/permits.rs
+++ b/crates/entry/src/traffic/permits.rs
@@ -47,7 +47,7 @@
         let ServerEntry { name, born, .. } = &*server.entry;
         let (rank, vm, address) = match self.permit_source(server, &snapshot, called_at) {
             PermitSource::Own(rank) => {
-                let rate = rank.rate(max_rate, snapshot.vms.len());
+                let rate = rank.rate(max_rate, snapshot.n_sharing_vms());
                 let mut keeper = self.permit_keeper.lock();
                 return keeper.decide(name, *born, rank, rate, max_wait, called_at);
             }
--- a/crates/entry/tests/it/main.rs
+++ b/crates/entry/tests/it/main.rs
@@ -5,6 +5,7 @@
 mod change_faults;
 mod change_relay;
 mod change_source;
+mod cold_share;
 mod connections;
 mod datagrams;
 mod fixtures;
--- a/crates/policy/src/cold_pacer.rs
+++ b/crates/policy/src/cold_pacer.rs
@@ -52,6 +52,11 @@
         now >= self.next_at
     }
 
+    /// Records a request that this router sent before it had this pacer.
+    pub fn note_earlier_send(&mut self, sent_at: MonoTime) {
+        self.next_at = self.next_at.max(sent_at + self.interval);
+    }
+
     /// Records that a request is sent, which delays the next one by the interval.
     pub fn note_sent(&mut self, now: MonoTime) {
         self.next_at = now + self.interval;
