policy: let a retry budget follow the number of routers

Cause: a service's retry budget took its share of the slack from the number of VMs listed at the service's first request, for the life of the process. VMs that start together, or while the list is short after an outage of the store, could each save the retries of all (BUDGET).

Change: the share is taken anew from the VMs that share the limits of servers at each request; what was saved beyond it is lost.

Before (with the share left as it was made): a_budget_follows_the_number_of_routers: 360 retries saved of 60 allowed. After: passes.

--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -250,12 +250,13 @@
 
     /// Adds to the service's retry budget for a request's first attempt.
     fn count_first_send(&self, request: &RequestState) {
-        let n_vms = self.channel.current().vms.len();
+        let n_vms = self.channel.current().n_sharing_vms();
         let retries = self.settings.load().retries;
         let mut state = self.state.borrow_mut();
         let stats = state.service_stats.entry(request.service.clone()).or_insert_with(|| {
             ServiceStats::new(RetryBudget::shared(retries.ratio, retries.slack, n_vms))
         });
+        stats.budget.share_among(retries.slack, n_vms);
         stats.budget.note_first();
     }
 
--- a/crates/policy/src/budget.rs
+++ b/crates/policy/src/budget.rs
@@ -30,8 +30,17 @@
     /// rarely. Each may save at least one retry, as a share of less than one would never allow any;
     /// so together they keep to the slack while there are no more routers than `slack`.
     pub fn shared(ratio: f64, slack: f64, n_routers: usize) -> Self {
-        let cap = (slack * SLACK_SHARE / n_routers.max(1) as f64).max(1.0);
-        Self::new(ratio * RATIO_SHARE, cap)
+        Self::new(ratio * RATIO_SHARE, Self::shared_cap(slack, n_routers))
+    }
+
+    /// Changes the number of routers that share the slack; what is saved beyond the new share is lost.
+    pub fn share_among(&mut self, slack: f64, n_routers: usize) {
+        self.cap = Self::shared_cap(slack, n_routers);
+        self.tokens = self.tokens.min(self.cap);
+    }
+
+    fn shared_cap(slack: f64, n_routers: usize) -> f64 {
+        (slack * SLACK_SHARE / n_routers.max(1) as f64).max(1.0)
     }
 
     /// Records a first send, which adds `ratio` tokens.
--- a/crates/policy/tests/it/budget.rs
+++ b/crates/policy/tests/it/budget.rs
@@ -61,3 +61,19 @@
         assert!(n_retries >= N_REQUESTS / 10, "{n_routers} routers: {n_retries} retries");
     }
 }
+
+/// Guards against routers that each save the retries of all: they made their budgets while the list of
+/// routers was empty or had few, as after a common start or an outage of the store.
+#[test]
+fn a_budget_follows_the_number_of_routers() {
+    const SLACK: f64 = 60.0;
+    const N_ROUTERS: usize = 10;
+    let mut budgets = vec![RetryBudget::shared(0.2, SLACK, 1); N_ROUTERS];
+    for budget in &mut budgets {
+        (0..1_000).for_each(|_| budget.note_first());
+        budget.share_among(SLACK, N_ROUTERS);
+    }
+    let n_saved: usize = budgets.iter_mut().map(|it| (0..100).filter(|_| it.take()).count()).sum();
+    assert!(n_saved as f64 <= SLACK, "{n_saved} retries");
+    assert!(n_saved >= N_ROUTERS, "each keeps its share");
+}
