entry: bound the bytes that a process holds of all requests and answers together

Other operators saw a VM run out of memory, with the requests of all its callers, when a faulty server sent bytes without end.

Cause: each answer and body had a limit, and nothing bounded their sum; bodies were held twice while they were joined.

What a socket delivers of an answer counts as it is read, until the last copy of the body is dropped; a caller's body counts before any of it is kept. What has no room is cut off, or refused as not run. A holder may have the more, the more is left, so that short answers have room beside many long ones. Bodies are kept in segments that never grow by copying; an answer that declares too much ends at its head; until the head 256 KiB may arrive, as interim answers without end took seconds of processor time.

--- a/crates/entry/src/assigner.rs
+++ b/crates/entry/src/assigner.rs
@@ -205,7 +205,7 @@
     /// Creates an assigner that does not hold the lease.
     pub fn new(parts: AssignerParts<S, F>) -> Self {
         Self {
-            orders: OrderSender::new(parts.format, parts.clock, parts.settings.answer_limits.order),
+            orders: OrderSender::new(parts.format, parts.clock, parts.settings.order_bounds()),
             store: parts.store,
             settings: parts.settings,
             incarnation: parts.incarnation,
--- a/crates/entry/src/connections.rs
+++ b/crates/entry/src/connections.rs
@@ -7,17 +7,17 @@
     io,
     net::SocketAddr,
     sync::{
-        Arc,
-        atomic::{AtomicU64, AtomicUsize, Ordering},
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicU64, Ordering},
     },
     time::Duration,
 };
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header, response};
 use http_body_util::{BodyExt, Full};
 use hyper::{
-    body::Incoming,
+    body::{Body, Incoming},
     client::conn::http1::{self, SendRequest},
 };
 use hyper_util::rt::TokioIo;
@@ -28,7 +28,12 @@
 use tokio::{net::TcpStream, sync::mpsc, task::JoinHandle, time::timeout};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::observed_stream::{ObservedStream, ReadObserver};
+use crate::{
+    ByteBudget,
+    body_buffer::BodyBuffer,
+    byte_budget::ByteReservation,
+    observed_stream::{ObservedStream, ReadObserver},
+};
 
 /// Longest wait for a connection to be established.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -48,6 +53,10 @@
 /// Largest head of an answer in bytes; interim answers count by themselves.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
+/// Bytes that may arrive until the head of an answer is complete, with interim answers ahead of it and the
+/// part of the body that is read with it. Interim answers cost far more time than a body of their length.
+const MAX_BYTES_TO_HEAD: usize = 4 * MAX_HEAD_BYTES;
+
 /// An HTTP answer with its complete body.
 #[derive(Debug, Clone)]
 pub struct HttpAnswer {
@@ -79,7 +88,8 @@
     Closed(StepError),
     /// The exchange failed otherwise after the request may have been written, so that it may have run.
     Broken(StepError),
-    /// The peer sent more bytes than an answer may have; the request may have run.
+    /// The peer sent more bytes than an answer may have, or than there is memory for; the request may have
+    /// run.
     TooLong(StepError),
     /// The answer began, but its rest did not arrive; the request may have run.
     Stalled(StepError),
@@ -99,41 +109,91 @@
     }
 }
 
-/// Bytes received since the last request, and their limit; clones share the count.
+/// Limits on what a peer may send.
+#[derive(Debug, Clone)]
+pub struct AnswerBounds {
+    /// Largest answer in bytes, its head included.
+    pub max_bytes: usize,
+    /// Budget of the process that the answers' bytes come out of.
+    pub budget: ByteBudget,
+}
+
+/// Bytes received since the last request, with their limits; clones share them.
 ///
 /// It counts all bytes, so that heads, interim answers, chunk headers and bodies without end are
 /// bounded alike.
 #[derive(Debug, Clone)]
 struct ReadMeter {
-    n_read: Arc<AtomicUsize>,
-    limit: usize,
+    state: Arc<Mutex<MeterState>>,
+    max_bytes: usize,
+}
+
+#[derive(Debug)]
+struct MeterState {
+    n_read: usize,
+    /// Whether the head is complete.
+    has_head: bool,
+    reservation: ByteReservation,
+    /// Why nothing more is read.
+    cut: Option<&'static str>,
 }
 
 impl ReadMeter {
-    fn new(limit: usize) -> Self {
-        Self { n_read: Arc::default(), limit }
+    fn new(bounds: AnswerBounds) -> Self {
+        let AnswerBounds { max_bytes, budget } = bounds;
+        let state =
+            MeterState { n_read: 0, has_head: false, reservation: budget.reservation(), cut: None };
+        Self { state: Arc::new(Mutex::new(state)), max_bytes }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, MeterState> {
+        self.state.lock().unwrap_or_else(|it| it.into_inner())
     }
 
     /// Starts counting anew, for the answer to the next request.
     fn restart(&self) {
-        self.n_read.store(0, Ordering::Relaxed);
+        let mut state = self.lock();
+        state.n_read = 0;
+        state.has_head = false;
+        drop(state.reservation.take());
+    }
+
+    fn note_head(&self) {
+        self.lock().has_head = true;
+    }
+
+    /// The reservation of what has been received.
+    fn take_reservation(&self) -> ByteReservation {
+        self.lock().reservation.take()
     }
 
     fn n_read(&self) -> usize {
-        self.n_read.load(Ordering::Relaxed)
+        self.lock().n_read
     }
 
-    fn is_exceeded(&self) -> bool {
-        self.n_read() > self.limit
+    /// Why the answer was cut off, if it was.
+    fn cut(&self) -> Option<String> {
+        let state = self.lock();
+        state.cut.map(|cause| format!("{cause}: {} bytes received", state.n_read))
     }
 }
 
 impl ReadObserver for ReadMeter {
     fn note_read(&mut self, n_bytes: usize) -> io::Result<()> {
-        self.n_read.fetch_add(n_bytes, Ordering::Relaxed);
-        match self.is_exceeded() {
-            true => Err(io::Error::new(io::ErrorKind::InvalidData, "answer is too long")),
-            false => Ok(()),
+        let mut state = self.lock();
+        state.n_read += n_bytes;
+        let cut = match () {
+            () if state.n_read > self.max_bytes => Some("answer is too long"),
+            () if !state.has_head && state.n_read > MAX_BYTES_TO_HEAD => {
+                Some("answer has no head after too many bytes")
+            }
+            () if !state.reservation.grow(n_bytes) => Some("no memory for the answer"),
+            () => None,
+        };
+        state.cut = cut;
+        match cut {
+            Some(cause) => Err(io::Error::new(io::ErrorKind::InvalidData, cause)),
+            None => Ok(()),
         }
     }
 }
@@ -198,18 +258,18 @@
 }
 
 impl HttpConnection {
-    /// Connects to `peer`, whose answers may have `max_answer_bytes` each, heads included.
+    /// Connects to `peer`, whose answers have these bounds.
     ///
     /// # Errors
     /// `Refused` if nothing listens there, `NotConnected` for every other failure.
-    pub async fn open(peer: SocketAddr, max_answer_bytes: usize) -> Result<Self, ExchangeError> {
-        Self::open_observed(peer, max_answer_bytes, None).await
+    pub async fn open(peer: SocketAddr, bounds: AnswerBounds) -> Result<Self, ExchangeError> {
+        Self::open_observed(peer, bounds, None).await
     }
 
     /// Connects like [`Self::open`]; the observer is told if the peer ends the connection while it is kept.
     pub(crate) async fn open_observed(
         peer: SocketAddr,
-        max_answer_bytes: usize,
+        bounds: AnswerBounds,
         observer: Option<ConnectionObserver>,
     ) -> Result<Self, ExchangeError> {
         let connect_error = |err: io::Error| match err.kind() {
@@ -230,7 +290,7 @@
         // With zero linger, closing resets the connection, so that data delayed by a partition is
         // never delivered after it.
         socket.set_linger(Some(Duration::ZERO)).map_err(connect_error)?;
-        let meter = ReadMeter::new(max_answer_bytes);
+        let meter = ReadMeter::new(bounds);
         let stream = TokioIo::new(ObservedStream::new(stream, meter.clone()));
         let (sender, connection) =
             http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(stream).await.map_err(
@@ -293,10 +353,8 @@
         request: Request<Full<Bytes>>,
         now: impl Fn() -> MonoTime,
     ) -> Result<HttpAnswer, ExchangeError> {
-        let BegunAnswer { response, head_at } = self.begin_exchange(request, &now).await?;
-        let (head, body) = response.into_parts();
-        let body = body.collect().await.map_err(|err| self.answer_error("read-answer", err))?;
-        Ok(self.complete_answer(head, body.to_bytes(), head_at, now()))
+        let begun = self.begin_exchange(request, &now).await?;
+        self.read_rest(begun, Duration::MAX, now).await
     }
 
     /// Sends one request and waits for the head of the answer.
@@ -310,7 +368,10 @@
     ) -> Result<BegunAnswer, ExchangeError> {
         self.meter.restart();
         match self.sender.try_send_request(request).await {
-            Ok(response) => Ok(BegunAnswer { response, head_at: now() }),
+            Ok(response) => {
+                self.meter.note_head();
+                Ok(BegunAnswer { response, head_at: now() })
+            }
             // `hyper` returns the request only if none of it was written.
             Err(err) if err.message().is_some() => {
                 let err = StepError::new("send", self.peer, err.into_error());
@@ -333,10 +394,16 @@
     ) -> Result<HttpAnswer, ExchangeError> {
         let BegunAnswer { response, head_at } = begun;
         let (head, mut body) = response.into_parts();
-        let mut received = BytesMut::new();
+        let declared = body.size_hint().exact().map(|it| usize::try_from(it).unwrap_or(usize::MAX));
+        if let Some(n_bytes) = declared.filter(|it| *it > self.meter.max_bytes) {
+            let n_read = self.meter.n_read();
+            let cause = format!("answer is too long: {n_read} bytes received, {n_bytes} declared");
+            return Err(ExchangeError::TooLong(StepError::new("read-answer", self.peer, cause)));
+        }
+        let mut received = BodyBuffer::new(declared);
         loop {
             match timeout(max_stall, body.frame()).await {
-                Ok(Some(Ok(frame))) => received.extend(frame.into_data().ok()),
+                Ok(Some(Ok(frame))) => frame.into_data().iter().for_each(|it| received.push(it)),
                 Ok(Some(Err(err))) => return Err(self.answer_error("read-answer", err)),
                 Ok(None) => break,
                 Err(_) => {
@@ -349,7 +416,11 @@
                 }
             }
         }
-        Ok(self.complete_answer(head, received.freeze(), head_at, now()))
+        let body = received.into_bytes(self.meter.take_reservation()).ok_or_else(|| {
+            let cause = "no memory for the answer";
+            ExchangeError::TooLong(StepError::new("read-answer", self.peer, cause))
+        })?;
+        Ok(self.complete_answer(head, body, head_at, now()))
     }
 
     /// Notes until when the connection may be reused after an answer.
@@ -366,12 +437,18 @@
     }
 
     fn answer_error(&self, step: &'static str, err: hyper::Error) -> ExchangeError {
-        if !self.meter.is_exceeded() && !err.is_parse_too_large() {
-            let is_closed = is_ended_by_peer(&err);
-            let err = StepError::new(step, self.peer, err);
-            return if is_closed { ExchangeError::Closed(err) } else { ExchangeError::Broken(err) };
-        }
-        let cause = format!("answer is too long: {} bytes received", self.meter.n_read());
+        let cause = match self.meter.cut() {
+            Some(cause) => cause,
+            None if err.is_parse_too_large() => "answer's head is too long".to_owned(),
+            None => {
+                let is_closed = is_ended_by_peer(&err);
+                let err = StepError::new(step, self.peer, err);
+                return match is_closed {
+                    true => ExchangeError::Closed(err),
+                    false => ExchangeError::Broken(err),
+                };
+            }
+        };
         ExchangeError::TooLong(StepError::new(step, self.peer, cause))
     }
 }
--- a/crates/entry/src/http_server.rs
+++ b/crates/entry/src/http_server.rs
@@ -12,8 +12,12 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use http_body_util::{BodyExt, Full};
+use hyper::{
+    body::{Body, Incoming},
+    server::conn::http1,
+    service::service_fn,
+};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use slog::{Logger, warn};
 use tokio::{
@@ -23,7 +27,8 @@
 };
 
 use crate::{
-    CallerRequest, ServerFormat, TrafficServer,
+    ByteBudget, ByteReservation, CallerRequest, ServerFormat, TrafficServer,
+    body_buffer::BodyBuffer,
     observed_stream::{ObservedStream, ReadObserver},
 };
 
@@ -107,7 +112,7 @@
     // A failure only makes answers slightly later.
     let _ = stream.set_nodelay(true);
     let limits = traffic.limits();
-    let progress = Rc::new(HeadProgress::default());
+    let progress = Rc::new(HeadProgress::new(traffic.budget()));
     let service = {
         let (phase, progress) = (phase.clone(), progress.clone());
         service_fn(move |request| {
@@ -158,8 +163,10 @@
 const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(500);
 
 /// Whether a connection is waiting for a request, receiving its head or answering it.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct HeadProgress {
+    /// Bytes of the head that is being received or answered.
+    head_bytes: RefCell<ByteReservation>,
     has_read: Cell<bool>,
     is_answering: Cell<bool>,
     /// When the first byte of a head arrived that is not complete yet.
@@ -169,6 +176,17 @@
 }
 
 impl HeadProgress {
+    fn new(budget: &ByteBudget) -> Self {
+        Self {
+            head_bytes: RefCell::new(budget.reservation()),
+            has_read: Cell::default(),
+            is_answering: Cell::default(),
+            head_started: Cell::default(),
+            first_read: Notify::default(),
+            changed: Notify::default(),
+        }
+    }
+
     fn has_read(&self) -> bool {
         self.has_read.get()
     }
@@ -180,6 +198,7 @@
 
     fn note_answered(&self) {
         self.is_answering.set(false);
+        drop(self.head_bytes.borrow_mut().take());
     }
 
     /// Returns once a head has been incomplete for `limit`.
@@ -195,15 +214,22 @@
 }
 
 impl ReadObserver for Rc<HeadProgress> {
-    fn note_read(&mut self, _n_bytes: usize) -> io::Result<()> {
+    fn note_read(&mut self, n_bytes: usize) -> io::Result<()> {
         if !self.has_read.replace(true) {
             self.first_read.notify_one();
         }
-        if !self.is_answering.get() && self.head_started.get().is_none() {
+        if self.is_answering.get() {
+            return Ok(());
+        }
+        if self.head_started.get().is_none() {
             self.head_started.set(Some(Instant::now()));
             self.changed.notify_one();
         }
-        Ok(())
+        match self.head_bytes.borrow_mut().grow(n_bytes) {
+            true => Ok(()),
+            // The request has not been read, so its caller may send it again elsewhere.
+            false => Err(io::Error::new(io::ErrorKind::OutOfMemory, "no memory for a head")),
+        }
     }
 }
 
@@ -223,24 +249,17 @@
     let arrived = traffic.clock().now();
     let limits = traffic.limits();
     let (head, body) = request.into_parts();
-    let body = Limited::new(body, limits.max_body_bytes).collect();
+    let body = read_body(body, limits.max_body_bytes, traffic.budget());
     let body_limit = limits.head_timeout * BODY_TIMEOUT_HEADS;
     let body_limit = body_limit.min(traffic.time_limit(&head).unwrap_or(body_limit));
     let mut response = match tokio::time::timeout(body_limit, body).await {
         Ok(Ok(body)) => {
-            let request = CallerRequest {
-                method: head.method,
-                uri: head.uri,
-                headers: head.headers,
-                body: body.to_bytes(),
-                arrived,
-            };
-            traffic.serve(request).await
-        }
-        Ok(Err(err)) if err.is::<http_body_util::LengthLimitError>() => {
-            local_answer(StatusCode::PAYLOAD_TOO_LARGE)
+            let http::request::Parts { method, uri, headers, .. } = head;
+            traffic.serve(CallerRequest { method, uri, headers, body, arrived }).await
         }
-        Ok(Err(_)) => local_answer(StatusCode::BAD_REQUEST),
+        Ok(Err(BodyError::TooLong)) => local_answer(StatusCode::PAYLOAD_TOO_LARGE),
+        Ok(Err(BodyError::NoMemory)) => traffic.refuse_body(&head),
+        Ok(Err(BodyError::Broken)) => local_answer(StatusCode::BAD_REQUEST),
         Err(_) => local_answer(StatusCode::REQUEST_TIMEOUT),
     };
     if *phase.borrow() != ShutdownPhase::Serving {
@@ -249,6 +268,54 @@
     response
 }
 
+/// Why there is no whole body of a request.
+enum BodyError {
+    /// It exceeds the operators' limit.
+    TooLong,
+    /// The process holds too much already. It has been read to its end all the same, as an answer to a
+    /// caller that still sends could be lost with its connection.
+    NoMemory,
+    /// It ended early or is malformed.
+    Broken,
+}
+
+/// Reads a body of at most `max_bytes`; what is kept of it comes out of the budget.
+async fn read_body(
+    mut body: Incoming,
+    max_bytes: usize,
+    budget: &ByteBudget,
+) -> Result<Bytes, BodyError> {
+    let declared = body.size_hint().exact().map(|it| usize::try_from(it).unwrap_or(usize::MAX));
+    if declared.is_some_and(|it| it > max_bytes) {
+        return Err(BodyError::TooLong);
+    }
+    let mut reservation = Some(budget.reservation());
+    let grow = |reservation: &mut Option<ByteReservation>, n_bytes| {
+        reservation.take_if(|it| !it.grow(n_bytes));
+    };
+    // A declared length is known to fit, or not, before any of it is kept.
+    grow(&mut reservation, declared.unwrap_or_default());
+    let mut received = BodyBuffer::new(declared.filter(|_| reservation.is_some()));
+    let mut n_read = 0;
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_| BodyError::Broken)?.into_data() else {
+            continue;
+        };
+        n_read += data.len();
+        if n_read > max_bytes {
+            return Err(BodyError::TooLong);
+        }
+        if declared.is_none() {
+            grow(&mut reservation, data.len());
+        }
+        match reservation {
+            Some(_) => received.push(&data),
+            None => received = BodyBuffer::default(),
+        }
+    }
+    reservation.and_then(|it| received.into_bytes(it)).ok_or(BodyError::NoMemory)
+}
+
 /// An empty answer after which the connection is closed.
 fn local_answer(status: StatusCode) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::new()));
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,6 +7,8 @@
 
 mod assigner;
 mod backpressure;
+mod body_buffer;
+mod byte_budget;
 mod change_relay;
 mod change_timing;
 mod connections;
@@ -34,10 +36,12 @@
 
 pub use assigner::{AssignerParts, KeyAssigner, KeyedLoads, SharedLoads};
 pub use backpressure::{BackpressureCache, ServerBackpressure};
+pub use byte_budget::{ByteBudget, ByteReservation};
 pub use change_relay::{RelayBatch, RelayLog, RelayReply, RelayRequest, RelayedChanges};
 pub use change_timing::ChangeTiming;
 pub use connections::{
-    BegunAnswer, ConnectionNumber, ConnectionPool, ExchangeError, HttpAnswer, HttpConnection,
+    AnswerBounds, BegunAnswer, ConnectionNumber, ConnectionPool, ExchangeError, HttpAnswer,
+    HttpConnection,
 };
 pub use datagrams::{
     AckedRange, OversizedDatagram, PeerDatagram, RouterLoad, ShardUpdate, decode_datagram,
--- a/crates/entry/src/orders.rs
+++ b/crates/entry/src/orders.rs
@@ -9,7 +9,7 @@
 use settings::ProcessClock;
 use tokio::time::timeout;
 
-use crate::{ExchangeError, HttpAnswer, HttpConnection, ServerFormat};
+use crate::{AnswerBounds, ExchangeError, HttpAnswer, HttpConnection, ServerFormat};
 
 /// Timeout of a grant.
 const GRANT_TIMEOUT: Duration = Duration::from_millis(600);
@@ -66,8 +66,8 @@
 pub struct OrderSender<F> {
     format: F,
     clock: ProcessClock,
-    /// Largest answer in bytes.
-    max_answer_bytes: usize,
+    /// Bounds of the answers.
+    bounds: AnswerBounds,
     connections: Rc<RefCell<BTreeMap<ServerInstance, OrderConnection>>>,
 }
 
@@ -119,10 +119,9 @@
 }
 
 impl<F: ServerFormat> OrderSender<F> {
-    /// Creates a sender without open connections, to which servers may answer with
-    /// `max_answer_bytes` for each order.
-    pub fn new(format: F, clock: ProcessClock, max_answer_bytes: usize) -> Self {
-        Self { format, clock, max_answer_bytes, connections: Rc::default() }
+    /// Creates a sender without open connections, to which servers may answer within these bounds.
+    pub fn new(format: F, clock: ProcessClock, bounds: AnswerBounds) -> Self {
+        Self { format, clock, bounds, connections: Rc::default() }
     }
 
     /// Sends a grant to `instance` if `may_send` still allows it once a connection is open, which may
@@ -194,7 +193,7 @@
     }
 
     async fn open(&self, instance: &ServerInstance) -> Result<HttpConnection, ExchangeError> {
-        HttpConnection::open(instance.address, self.max_answer_bytes).await
+        HttpConnection::open(instance.address, self.bounds.clone()).await
     }
 
     async fn exchange(
--- a/crates/entry/src/settings_file.rs
+++ b/crates/entry/src/settings_file.rs
@@ -6,7 +6,7 @@
 use serde::Deserialize;
 use settings::{SettingError, parse_duration};
 
-use crate::ChangeTiming;
+use crate::{AnswerBounds, ByteBudget, ChangeTiming};
 
 /// Settings as written in the file, before validation.
 #[derive(Debug, Clone, Deserialize)]
@@ -39,6 +39,9 @@
     /// Time after which the servers of an evacuated failure domain get no more requests.
     #[serde(default = "default_evacuation")]
     evacuation: String,
+    /// Memory that the process may take, in megabytes.
+    #[serde(default = "default_memory_mb")]
+    memory_mb: usize,
     /// Largest answer of a server to a caller's request, in bytes.
     #[serde(default = "default_max_answer_bytes")]
     max_answer_bytes: usize,
@@ -65,6 +68,10 @@
     "5s".to_owned()
 }
 
+fn default_memory_mb() -> usize {
+    256
+}
+
 fn default_max_answer_bytes() -> usize {
     8 * 1024 * 1024
 }
@@ -111,6 +118,8 @@
     /// Time limits of the change stream, by which plans are in force and draining servers known in
     /// time.
     pub change_timing: ChangeTiming,
+    /// Bytes of callers' requests and servers' answers that the process may hold at a time.
+    pub traffic_bytes: usize,
     /// Limits on the answers that the process receives.
     pub answer_limits: AnswerLimits,
     /// Minimum level of logged events.
@@ -139,6 +148,26 @@
     pub window: Duration,
 }
 
+/// Share of the process's memory for callers' requests and servers' answers. The rest is for the cached
+/// state, the store's answers, and buffers.
+const TRAFFIC_SHARE: f64 = 0.45;
+
+/// Minimum value of `memory_mb`.
+const MIN_MEMORY_MB: usize = 64;
+
+const MEGABYTE: usize = 1_000_000;
+
+/// Longest answers to orders that are held at a time, together.
+const MAX_ORDER_ANSWERS: usize = 64;
+
+impl EntrySettings {
+    /// Bounds of the answers to grants and releases.
+    pub fn order_bounds(&self) -> AnswerBounds {
+        let max_bytes = self.answer_limits.order;
+        AnswerBounds { max_bytes, budget: ByteBudget::new(max_bytes * MAX_ORDER_ANSWERS) }
+    }
+}
+
 impl TryFrom<RawEntrySettings> for EntrySettings {
     type Error = SettingError;
 
@@ -180,6 +209,7 @@
             drain,
             evacuation: duration("evacuation", &raw.evacuation)?,
             change_timing: ChangeTiming::for_deadline(plan_deadline.min(drain)),
+            traffic_bytes: traffic_bytes(raw.memory_mb)?,
             answer_limits: AnswerLimits {
                 server: answer_bytes("max_answer_bytes", raw.max_answer_bytes)?,
                 order: answer_bytes("max_order_answer_bytes", raw.max_order_answer_bytes)?,
@@ -205,6 +235,13 @@
     }
 }
 
+fn traffic_bytes(memory_mb: usize) -> Result<usize, SettingError> {
+    match memory_mb {
+        MIN_MEMORY_MB.. => Ok(((memory_mb * MEGABYTE) as f64 * TRAFFIC_SHARE) as usize),
+        _ => Err(SettingError::new("memory_mb", memory_mb, format!("{MIN_MEMORY_MB} or more"))),
+    }
+}
+
 fn address(field: &str, text: &str) -> Result<SocketAddr, SettingError> {
     text.parse().map_err(|_| SettingError::new(field, text, "ADDRESS:PORT"))
 }
--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -40,10 +40,10 @@
 use tokio::time::{sleep, timeout};
 
 use crate::{
-    BackpressureCache, CachedServer, ConnectionNumber, ConnectionPool, EntryMetrics, EntrySettings,
-    ExchangeError, HttpAnswer, HttpConnection, PermitClient, PlanRoute, ReportCache,
-    ServerBackpressure, ServerEntry, ServerFormat, SharedKeeper, SnapshotChannel, StateSnapshot,
-    WarmthCache,
+    AnswerBounds, BackpressureCache, ByteBudget, CachedServer, ConnectionNumber, ConnectionPool,
+    EntryMetrics, EntrySettings, ExchangeError, HttpAnswer, HttpConnection, PermitClient,
+    PlanRoute, ReportCache, ServerBackpressure, ServerEntry, ServerFormat, SharedKeeper,
+    SnapshotChannel, StateSnapshot, WarmthCache,
     datagrams::RouterLoad,
     stats::{INITIAL_SECONDS, ServerStats, ServiceStats},
 };
@@ -114,6 +114,8 @@
     backpressure: BackpressureCache,
     warmth: WarmthCache,
     probes: ProbeQueue,
+    /// Budget of what is held of requests and answers.
+    budget: ByteBudget,
     permit_keeper: SharedKeeper,
     permit_client: PermitClient,
     /// When the process ends, once it is stopping.
@@ -137,6 +139,7 @@
         };
         Self {
             format: parts.format,
+            budget: ByteBudget::new(parts.settings.traffic_bytes),
             settings: ArcSwap::from_pointee(parts.settings),
             channel: parts.channel,
             clock: parts.clock,
@@ -177,7 +180,18 @@
         time_left.map_or(route.timeout, |it| Duration::from_millis(it).min(route.timeout))
     }
 
-    /// Replaces the settings; changed addresses take effect only after a restart.
+    /// Budget of what is held of requests and answers.
+    pub(crate) fn budget(&self) -> &ByteBudget {
+        &self.budget
+    }
+
+    /// Bounds of the answers to callers' requests and probes.
+    fn answer_bounds(&self) -> AnswerBounds {
+        let max_bytes = self.settings.load().answer_limits.server;
+        AnswerBounds { max_bytes, budget: self.budget.clone() }
+    }
+
+    /// Replaces the settings; changed addresses and memory take effect only after a restart.
     pub fn adopt_settings(&self, settings: EntrySettings) {
         self.settings.store(Arc::new(settings));
     }
--- a/crates/entry/src/traffic/answers.rs
+++ b/crates/entry/src/traffic/answers.rs
@@ -2,6 +2,10 @@
 
 use super::*;
 
+/// Seconds after which a caller may send a body again for which there was no memory: in about that time,
+/// the requests that hold it are answered.
+const BODY_RETRY_SECONDS: u16 = 1;
+
 impl<F: ServerFormat> TrafficServer<F> {
     /// Counts and logs the outcome, and turns it into the caller's answer.
     pub(super) fn finish(
@@ -81,6 +85,16 @@
         self.local_answer(id, status)
     }
 
+    /// Refuses a request for whose body there is no memory; it has not run.
+    pub(crate) fn refuse_body(&self, head: &http::request::Parts) -> CallerAnswer {
+        let id = head.headers.get(&self.format.headers().request_id).cloned();
+        let id = id.unwrap_or_else(|| HeaderValue::from_static("-"));
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        let mut response = self.refuse_unrouted(&id, status, "no-memory");
+        response.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from(BODY_RETRY_SECONDS));
+        response
+    }
+
     /// An empty answer of this process with the caller's request id.
     fn local_answer(&self, id: &HeaderValue, status: StatusCode) -> CallerAnswer {
         let mut response = Response::new(Full::new(Bytes::new()));
--- a/crates/entry/src/traffic/exchange.rs
+++ b/crates/entry/src/traffic/exchange.rs
@@ -142,10 +142,9 @@
         address: SocketAddr,
         request: &RequestState,
     ) -> Result<HttpConnection, SendError> {
-        let max_answer_bytes = self.settings.load().answer_limits.server;
         let time_left = request.time_left(self.clock.now());
         let observer = Some(self.probes.observer.clone());
-        let open = HttpConnection::open_observed(address, max_answer_bytes, observer);
+        let open = HttpConnection::open_observed(address, self.answer_bounds(), observer);
         let res = timeout(time_left, open).await.unwrap_or_else(|_| {
             let err = StepError::new("connect", address, "the request's time is over");
             Err(ExchangeError::NotConnected(err))
--- a/crates/entry/src/traffic/probes.rs
+++ b/crates/entry/src/traffic/probes.rs
@@ -194,9 +194,8 @@
         {
             return Some(cold_left);
         }
-        let max_answer_bytes = self.settings.load().answer_limits.server;
         let observer = Some(self.probes.observer.clone());
-        match HttpConnection::open_observed(*address, max_answer_bytes, observer).await {
+        match HttpConnection::open_observed(*address, self.answer_bounds(), observer).await {
             Ok(connection) => self.exchange_probe(connection, server, path).await,
             Err(err) => {
                 info!(self.log, "probe-failed"; "server" => %name, "cause" => %err.error());
--- a/crates/entry/tests/it/connections.rs
+++ b/crates/entry/tests/it/connections.rs
@@ -3,7 +3,7 @@
 use std::{io::ErrorKind, time::Duration};
 
 use bytes::Bytes;
-use entry::{ExchangeError, HttpConnection};
+use entry::{AnswerBounds, ByteBudget, ExchangeError, HttpConnection};
 use http::Request;
 use model::MonoTime;
 use settings::ProcessClock;
@@ -17,11 +17,16 @@
 /// Limit on answers; no answer of these tests comes near it unless it says so.
 const MAX_ANSWER_BYTES: usize = 64 * 1024;
 
+fn bounds() -> AnswerBounds {
+    let budget = ByteBudget::new(2 * MAX_ANSWER_BYTES);
+    AnswerBounds { max_bytes: MAX_ANSWER_BYTES, budget }
+}
+
 /// A connection and the socket of its peer.
 async fn open_connection() -> (HttpConnection, TcpStream) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
     let address = listener.local_addr().expect("address");
-    let connection = HttpConnection::open(address, MAX_ANSWER_BYTES).await.expect("open");
+    let connection = HttpConnection::open(address, bounds()).await.expect("open");
     let (peer, _) = listener.accept().await.expect("accepted");
     (connection, peer)
 }
@@ -96,8 +101,7 @@
                     n_sent
                 });
                 let before = resident_bytes();
-                let mut connection =
-                    HttpConnection::open(address, MAX_ANSWER_BYTES).await.expect("open");
+                let mut connection = HttpConnection::open(address, bounds()).await.expect("open");
                 let request = Request::new(Bytes::from_static(b"request").into());
                 let end = connection.exchange(request, MonoTime::default).await;
                 let Err(ExchangeError::TooLong(err)) = end else { panic!("{end:?}") };
--- a/crates/entry/tests/it/main.rs
+++ b/crates/entry/tests/it/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the entry crate's public API.
 
 mod backpressure;
+mod byte_budget;
 mod change_delay;
 mod change_faults;
 mod change_relay;
