entry: bound the connections and unread bytes of clients of metrics and dumps

Cause: the sockets that serve readiness, metrics and dumps had no limit of number or time, so that clients that hang took descriptors, and those that don't read took a dump each.

Change: 64 connections and 16 MiB of unread texts for each address, 30 s between two requests.

Before (without the limit of connections): clients_of_metrics_that_hang_take_a_bounded_number_of_connections failed with 200 of 200 open. After: passes.

--- a/crates/entry/src/http_server.rs
+++ b/crates/entry/src/http_server.rs
@@ -7,6 +7,7 @@
     convert::Infallible,
     io,
     rc::Rc,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -22,7 +23,7 @@
 use slog::{Logger, warn};
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::{Notify, watch},
+    sync::{Notify, Semaphore, watch},
     time::sleep,
 };
 
@@ -327,8 +328,20 @@
 /// Returns the status and the text for a path.
 pub type TextHandler = Rc<dyn Fn(&str) -> (StatusCode, String)>;
 
+/// Most connections at a time to one of the addresses that serve texts.
+const MAX_TEXT_CONNECTIONS: usize = 64;
+
+/// Bytes of texts that slow readers may leave unread, for each of these addresses. A dump of a large
+/// fleet has a few megabytes.
+const MAX_TEXT_BYTES: usize = 16 * 1024 * 1024;
+
+/// Time within which a client of texts must send its next request.
+const TEXT_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// Serves plain text by path: the readiness check of the load balancer, metrics and dumps.
 pub async fn serve_texts(listener: TcpListener, text: TextHandler, log: Logger) {
+    let budget = ByteBudget::new(MAX_TEXT_BYTES);
+    let slots = Arc::new(Semaphore::new(MAX_TEXT_CONNECTIONS));
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -338,17 +351,29 @@
                 continue;
             }
         };
-        let text = text.clone();
+        let Ok(slot) = slots.clone().try_acquire_owned() else {
+            warn!(log, "text-connection-refused"; "connections" => MAX_TEXT_CONNECTIONS);
+            continue;
+        };
+        let (text, budget) = (text.clone(), budget.clone());
         tokio::task::spawn_local(async move {
             let service = service_fn(move |request: Request<Incoming>| {
                 let (status, body) = text(request.uri().path());
-                let mut response = Response::new(Full::new(Bytes::from(body)));
+                let mut reservation = budget.reservation();
+                let (status, body) = match reservation.grow(body.len()) {
+                    true => (status, reservation.attach(body)),
+                    false => (StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
+                };
+                let mut response = Response::new(Full::new(body));
                 *response.status_mut() = status;
                 async move { Ok::<_, Infallible>(response) }
             });
-            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            let mut builder = http1::Builder::new();
+            builder.timer(TokioTimer::new()).header_read_timeout(TEXT_IDLE_TIMEOUT);
+            let connection = builder.serve_connection(TokioIo::new(stream), service);
             // Clients of these texts may disconnect at any time.
             let _ = connection.await;
+            drop(slot);
         });
     }
 }
