entry: bound the changes that a relay keeps by their bytes

Cause: a relay kept the last 512 changes whatever their size; a plan may have a megabyte, so that operators who change it again and again fill the memory of every VM.

Change: the log keeps 8 MiB of encoded changes at most; who lacks more gets the complete state, as before.

Before (without the bound): kept_changes_are_bounded_by_their_bytes failed. After: passes.

--- a/crates/entry/src/change_relay.rs
+++ b/crates/entry/src/change_relay.rs
@@ -22,6 +22,9 @@
 /// Number of recent events kept for VMs that were briefly disconnected.
 const MAX_KEPT_EVENTS: usize = 512;
 
+/// Encoded bytes of recent events kept; a plan or shard record may have hundreds of kilobytes.
+const MAX_KEPT_BYTES: usize = 8 * 1024 * 1024;
+
 /// Longest time for which a relay holds a request until there is a change.
 const MAX_RELAY_WAIT: Duration = Duration::from_millis(5_000);
 
@@ -124,15 +127,25 @@
     path: Vec<VmName>,
     /// Number of the last batch.
     last: u64,
-    batches: VecDeque<RelayBatch>,
+    batches: VecDeque<KeptBatch>,
     /// Events of all kept batches.
     n_events: usize,
+    /// Encoded bytes of all kept batches.
+    n_bytes: usize,
     /// Revision of the newest batch that is no longer kept.
     dropped_revision: u64,
     snapshot: Arc<StateSnapshot>,
     complete: Option<CompleteState>,
 }
 
+/// A batch in the log.
+#[derive(Debug)]
+struct KeptBatch {
+    batch: RelayBatch,
+    /// Its encoded length.
+    n_bytes: usize,
+}
+
 /// The complete state as events. A relay that starts sends it to all VMs of its domain at once.
 #[derive(Debug, Clone)]
 struct CompleteState {
@@ -175,16 +188,22 @@
 
     /// Appends a batch, and drops the oldest ones beyond the limit.
     fn push(&mut self, batch: RelayBatch) {
+        let n_bytes = peer::encoded_len(&batch);
         self.last += 1;
         self.n_events += batch.events.len();
-        self.batches.push_back(batch);
-        let is_too_long =
-            |it: &Self| it.n_events > MAX_KEPT_EVENTS || it.batches.len() > MAX_KEPT_EVENTS;
+        self.n_bytes += n_bytes;
+        self.batches.push_back(KeptBatch { batch, n_bytes });
+        let is_too_long = |it: &Self| {
+            it.n_events > MAX_KEPT_EVENTS
+                || it.batches.len() > MAX_KEPT_EVENTS
+                || it.n_bytes > MAX_KEPT_BYTES
+        };
         while is_too_long(self)
-            && let Some(dropped) = self.batches.pop_front()
+            && let Some(KeptBatch { batch, n_bytes }) = self.batches.pop_front()
         {
-            self.n_events -= dropped.events.len();
-            self.dropped_revision = self.dropped_revision.max(dropped.to);
+            self.n_events -= batch.events.len();
+            self.n_bytes -= n_bytes;
+            self.dropped_revision = self.dropped_revision.max(batch.to);
         }
     }
 
@@ -199,7 +218,8 @@
             true => self.batches.len() - self.last.saturating_sub(request.after) as usize,
             false => 0,
         };
-        let missing = self.batches.iter().skip(n_received).filter(|it| it.to > revision);
+        let batches = self.batches.iter().skip(n_received).map(|it| &it.batch);
+        let missing = batches.filter(|it| it.to > revision);
         let missing: Vec<&RelayBatch> = missing.collect();
         match missing.iter().any(|it| it.is_difference && it.from < revision) {
             true => None,
--- a/crates/entry/tests/it/change_relay.rs
+++ b/crates/entry/tests/it/change_relay.rs
@@ -1,11 +1,12 @@
 //! What a relay sends to VMs that have used another source before.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use entry::{
-    ChangeBatch, ChangeEvent, RelayLog, RelayReply, RelayRequest, SnapshotChannel, StateCache,
+    CallerLimits, ChangeBatch, ChangeEvent, PlanRoute, RelayLog, RelayReply, RelayRequest,
+    RoutePlan, SnapshotChannel, StateCache,
 };
-use model::MonoTime;
+use model::{Idempotency, MonoTime};
 use peer::PeerService;
 use settings::ProcessClock;
 use slog::{Discard, Logger, o};
@@ -183,3 +184,41 @@
     assert!(started.elapsed() < Duration::from_millis(1_000), "{:?}", started.elapsed());
     assert!(reply.age_ms >= 200 && reply.events().is_empty(), "{reply:?}");
 }
+
+/// A plan whose encoding takes about this many bytes.
+fn plan(version: u64, n_bytes: usize) -> RoutePlan {
+    let route = PlanRoute {
+        name: "fetch".into(),
+        prefix: "x".repeat(n_bytes).into(),
+        targets: Vec::new().into(),
+        idempotency: Idempotency::Idempotent,
+        timeout: Duration::from_secs(1),
+        latency_objective: Duration::from_secs(1),
+        max_sends: 1,
+        priority: 0,
+    };
+    let hosts = BTreeMap::from([("easel.example".into(), vec![Arc::new(route)])]);
+    RoutePlan { version, hosts, services: BTreeMap::new(), limits: CallerLimits::default() }
+}
+
+/// Guards against a relay that runs out of memory: it kept the last 512 changes whatever their size, and
+/// operators change a plan of a megabyte again and again.
+#[tokio::test]
+async fn kept_changes_are_bounded_by_their_bytes() {
+    const PLAN_BYTES: usize = 1_000_000;
+    const MAX_SENT_BYTES: usize = 10 * PLAN_BYTES;
+    let log = RelayLog::new(INCARNATION, ProcessClock::default());
+    let channel = SnapshotChannel::with_relay(log.clone());
+    let mut cache = StateCache::new(Logger::root(Discard, o!()));
+    for revision in 1..=40 {
+        let events = vec![ChangeEvent::Plan(plan(revision, PLAN_BYTES))];
+        let batch = ChangeBatch { revision, events, ..ChangeBatch::default() };
+        cache.apply_changes(batch, MonoTime::from_millis(1_000));
+        channel.publish(&mut cache);
+    }
+    let old = reply(&log, 1).await;
+    assert!(old.is_complete(), "the changes since then are no longer kept");
+    let recent = reply(&log, 35).await;
+    assert_eq!(recent.events().len(), 5);
+    assert!(peer::encoded_len(&recent) < MAX_SENT_BYTES);
+}
--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -30,6 +30,23 @@
         .map_err(|err| StepError::new("encode", "peer", err))
 }
 
+/// Bytes that a message takes when it is encoded.
+pub fn encoded_len<T: Serialize>(message: &T) -> usize {
+    let mut counter = LengthCounter(0);
+    // Counting can't fail: these types hold only numbers, text and lists.
+    let _ = bincode::serde::encode_into_writer(message, &mut counter, bincode::config::standard());
+    counter.0
+}
+
+struct LengthCounter(usize);
+
+impl bincode::enc::write::Writer for LengthCounter {
+    fn write(&mut self, bytes: &[u8]) -> Result<(), bincode::error::EncodeError> {
+        self.0 += bytes.len();
+        Ok(())
+    }
+}
+
 pub(crate) fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, StepError> {
     let config = bincode::config::standard().with_limit::<MAX_MESSAGE_BYTES>();
     match bincode::serde::decode_from_slice(bytes, config) {
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -7,6 +7,7 @@
 mod server;
 
 pub use client::{ByteCounter, PeerClient, PeerPool};
+pub use codec::encoded_len;
 pub use messages::{
     ColdNotice, ForwardCause, ForwardReply, ForwardRequest, PeerReply, PeerRequest, SheetText,
     TypedRequest, WatchReply, WatchRequest,
