entry: note a kept connection that turns out to be closed, none of a server that leaves; split the read meter

A kept connection that had ended between its choice and the request was no sign of a new start; it is one now. A server that drains ends its connections as it exits, which is none.

--- a/crates/entry/src/connections.rs
+++ b/crates/entry/src/connections.rs
@@ -7,7 +7,7 @@
     io,
     net::SocketAddr,
     sync::{
-        Arc, Mutex, MutexGuard,
+        Arc,
         atomic::{AtomicU64, Ordering},
     },
     time::Duration,
@@ -29,10 +29,9 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    ByteBudget,
     body_buffer::BodyBuffer,
-    byte_budget::ByteReservation,
-    observed_stream::{ObservedStream, ReadObserver},
+    observed_stream::ObservedStream,
+    read_meter::{AnswerBounds, ReadMeter},
 };
 
 /// Longest wait for a connection to be established.
@@ -51,11 +50,7 @@
 const MAX_REFUSED_IDS: usize = 64;
 
 /// Largest head of an answer in bytes; interim answers count by themselves.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
-
-/// Bytes that may arrive until the head of an answer is complete, with interim answers ahead of it and the
-/// part of the body that is read with it. Interim answers cost far more time than a body of their length.
-const MAX_BYTES_TO_HEAD: usize = 4 * MAX_HEAD_BYTES;
+pub(crate) const MAX_HEAD_BYTES: usize = 64 * 1024;
 
 /// An HTTP answer with its complete body.
 #[derive(Debug, Clone)]
@@ -109,95 +104,6 @@
     }
 }
 
-/// Limits on what a peer may send.
-#[derive(Debug, Clone)]
-pub struct AnswerBounds {
-    /// Largest answer in bytes, its head included.
-    pub max_bytes: usize,
-    /// Budget of the process that the answers' bytes come out of.
-    pub budget: ByteBudget,
-}
-
-/// Bytes received since the last request, with their limits; clones share them.
-///
-/// It counts all bytes, so that heads, interim answers, chunk headers and bodies without end are
-/// bounded alike.
-#[derive(Debug, Clone)]
-struct ReadMeter {
-    state: Arc<Mutex<MeterState>>,
-    max_bytes: usize,
-}
-
-#[derive(Debug)]
-struct MeterState {
-    n_read: usize,
-    /// Whether the head is complete.
-    has_head: bool,
-    reservation: ByteReservation,
-    /// Why nothing more is read.
-    cut: Option<&'static str>,
-}
-
-impl ReadMeter {
-    fn new(bounds: AnswerBounds) -> Self {
-        let AnswerBounds { max_bytes, budget } = bounds;
-        let state =
-            MeterState { n_read: 0, has_head: false, reservation: budget.reservation(), cut: None };
-        Self { state: Arc::new(Mutex::new(state)), max_bytes }
-    }
-
-    fn lock(&self) -> MutexGuard<'_, MeterState> {
-        self.state.lock().unwrap_or_else(|it| it.into_inner())
-    }
-
-    /// Starts counting anew, for the answer to the next request.
-    fn restart(&self) {
-        let mut state = self.lock();
-        state.n_read = 0;
-        state.has_head = false;
-        drop(state.reservation.take());
-    }
-
-    fn note_head(&self) {
-        self.lock().has_head = true;
-    }
-
-    /// The reservation of what has been received.
-    fn take_reservation(&self) -> ByteReservation {
-        self.lock().reservation.take()
-    }
-
-    fn n_read(&self) -> usize {
-        self.lock().n_read
-    }
-
-    /// Why the answer was cut off, if it was.
-    fn cut(&self) -> Option<String> {
-        let state = self.lock();
-        state.cut.map(|cause| format!("{cause}: {} bytes received", state.n_read))
-    }
-}
-
-impl ReadObserver for ReadMeter {
-    fn note_read(&mut self, n_bytes: usize) -> io::Result<()> {
-        let mut state = self.lock();
-        state.n_read += n_bytes;
-        let cut = match () {
-            () if state.n_read > self.max_bytes => Some("answer is too long"),
-            () if !state.has_head && state.n_read > MAX_BYTES_TO_HEAD => {
-                Some("answer has no head after too many bytes")
-            }
-            () if !state.reservation.grow(n_bytes) => Some("no memory for the answer"),
-            () => None,
-        };
-        state.cut = cut;
-        match cut {
-            Some(cause) => Err(io::Error::new(io::ErrorKind::InvalidData, cause)),
-            None => Ok(()),
-        }
-    }
-}
-
 /// Is told when a peer ends a kept connection before the time until which it may be reused.
 #[derive(Debug, Clone)]
 pub(crate) struct ConnectionObserver {
@@ -395,7 +301,7 @@
         let BegunAnswer { response, head_at } = begun;
         let (head, mut body) = response.into_parts();
         let declared = body.size_hint().exact().map(|it| usize::try_from(it).unwrap_or(usize::MAX));
-        if let Some(n_bytes) = declared.filter(|it| *it > self.meter.max_bytes) {
+        if let Some(n_bytes) = declared.filter(|it| *it > self.meter.max_bytes()) {
             let n_read = self.meter.n_read();
             let cause = format!("answer is too long: {n_read} bytes received, {n_bytes} declared");
             return Err(ExchangeError::TooLong(StepError::new("read-answer", self.peer, cause)));
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -22,6 +22,7 @@
 mod plan;
 mod ports;
 mod presence;
+mod read_meter;
 mod run;
 mod server_reports;
 mod server_warmth;
@@ -40,8 +41,7 @@
 pub use change_relay::{RelayBatch, RelayLog, RelayReply, RelayRequest, RelayedChanges};
 pub use change_timing::ChangeTiming;
 pub use connections::{
-    AnswerBounds, BegunAnswer, ConnectionNumber, ConnectionPool, ExchangeError, HttpAnswer,
-    HttpConnection,
+    BegunAnswer, ConnectionNumber, ConnectionPool, ExchangeError, HttpAnswer, HttpConnection,
 };
 pub use datagrams::{
     AckedRange, OversizedDatagram, PeerDatagram, RouterLoad, ShardUpdate, decode_datagram,
@@ -56,6 +56,7 @@
     BatchScope, ChangeBatch, ChangeEvent, HeaderNames, LeaseId, RecordChange, ReportOrder,
     ServerEntry, ServerFormat, StateStore, StoreError,
 };
+pub use read_meter::AnswerBounds;
 pub use run::{SettingsSource, run_entry, run_entry_until};
 pub use server_reports::{Outgoing, ReportBatch, ReportCache, ServerReport};
 pub use server_warmth::{WarmthBatch, WarmthCache, WarmthReport};
--- a/crates/entry/src/traffic/choice.rs
+++ b/crates/entry/src/traffic/choice.rs
@@ -57,8 +57,9 @@
 
     /// Chooses the owner of the key. Awaits a change while the key is moving or its owner must not
     /// be sent to; refuses if the owner is overloaded, is cold and may not get another request yet,
-    /// or is in a silent failure domain. Waits for the owner's word if it may have started again. Waits for the end of a pause that the owner has asked for, or
-    /// for a permit, if the answer can still be in time, and refuses otherwise.
+    /// or is in a silent failure domain. Waits for the owner's word if it may have started again. Waits
+    /// for the end of a pause that the owner has asked for, or for a permit, if the answer can still be
+    /// in time, and refuses otherwise.
     pub(super) fn choose_owner(
         &self,
         request: &RequestState,
--- a/crates/entry/src/traffic/exchange.rs
+++ b/crates/entry/src/traffic/exchange.rs
@@ -128,6 +128,7 @@
                     if is_fresh || !matches!(error, ExchangeError::NotConnected(_)) {
                         return Err(SendError::Broken { error, is_fresh });
                     }
+                    self.note_restart_sign(server, "kept-connection-ended");
                 }
             }
             // A new connection shows whether the server is still listening.
--- a/crates/entry/src/traffic/probes.rs
+++ b/crates/entry/src/traffic/probes.rs
@@ -69,8 +69,12 @@
         }
     }
 
-    /// Records that the server may have started again, and has it asked.
+    /// Records that the server may have started again, and has it asked. One that is leaving ends its
+    /// connections without that.
     pub(super) fn note_restart_sign(&self, server: &CachedServer, cause: &'static str) {
+        if server.draining_since.is_some() {
+            return;
+        }
         let now = self.clock.now();
         let name = &server.entry.name;
         let was_suspected = self.warmth.update(name, |it| {
