--- a/crates/entry/src/server_warmth.rs
+++ b/crates/entry/src/server_warmth.rs
@@ -49,18 +49,13 @@
 #[derive(Debug, Clone, Copy)]
 struct CachedWarmth {
     warmth: ServerWarmth,
-    /// Until when the server is cold by its last answer, and whom that has yet to be sent to.
-    cold_until: MonoTime,
+    /// VMs that the server's last answer has yet to be sent to.
     audience: Audience,
 }
 
 impl Default for CachedWarmth {
     fn default() -> Self {
-        Self {
-            warmth: ServerWarmth::default(),
-            cold_until: MonoTime::default(),
-            audience: Audience::Nobody,
-        }
+        Self { warmth: ServerWarmth::default(), audience: Audience::Nobody }
     }
 }
 
@@ -89,9 +84,8 @@
     pub fn record_local(&self, server: &ServerName, cold_left: Duration, now: MonoTime) {
         let mut servers = self.lock();
         let cached = servers.entry(server_hash(server)).or_default();
-        cached.cold_until = now + cold_left;
         cached.audience = Audience::All;
-        cached.warmth.note_answer(now, cached.cold_until, Duration::ZERO);
+        cached.warmth.note_answer(now, now + cold_left, Duration::ZERO);
     }
 
     /// Records the reports of another VM that are newer than what is known. Those from the own failure
@@ -104,7 +98,6 @@
             let at = now - Duration::from_millis(report.age_ms.into());
             let cold_until = now + Duration::from_millis(report.cold_ms.into());
             if cached.warmth.note_answer(at, cold_until, MIN_AGE_DIFFERENCE) {
-                cached.cold_until = cold_until;
                 cached.audience = audience;
             }
         }
@@ -115,9 +108,9 @@
         let mut outgoing = Outgoing::default();
         for (&server, it) in self.lock().iter_mut() {
             let audience = std::mem::replace(&mut it.audience, Audience::Nobody);
-            let age = it.warmth.answered_at().map_or(MAX_ANSWER_AGE, |at| now.since(at));
-            if age < MAX_ANSWER_AGE {
-                let cold_ms = it.cold_until.since(now).as_millis().min(u32::MAX.into()) as u32;
+            let answer = it.warmth.answer().map(|(at, cold_until)| (now.since(at), cold_until));
+            if let Some((age, cold_until)) = answer.filter(|(age, _)| *age < MAX_ANSWER_AGE) {
+                let cold_ms = cold_until.since(now).as_millis().min(u32::MAX.into()) as u32;
                 let age_ms = age.as_millis() as u16;
                 outgoing.add(audience, || WarmthReport { server, cold_ms, age_ms });
             }
--- a/crates/policy/src/server_warmth.rs
+++ b/crates/policy/src/server_warmth.rs
@@ -51,6 +51,11 @@
         is_newer
     }
 
+    /// When the server last said how long it stays cold, and until when that is.
+    pub fn answer(&self) -> Option<(MonoTime, MonoTime)> {
+        self.answer
+    }
+
     /// When the server last said how long it stays cold.
     pub fn answered_at(&self) -> Option<MonoTime> {
         self.answer.map(|(at, _)| at)
