entry: send no orders by a successor's record

Cause: a round of the assigner checks that the cached state shows its lease, plans, which waits for the store, and then reads the state again to send orders by it. A record of the successor that arrived in between was taken for its own, and its tokens were granted once more.

Change: the state that orders are sent by must show the lease; a shard record ahead of the change stream counts only if this process wrote it under this lease. The orders' time is taken after planning.

After: none; 23 tests of ownership and orders pass.

--- a/crates/entry/src/assigner.rs
+++ b/crates/entry/src/assigner.rs
@@ -160,6 +160,8 @@
     grants_renewed_at: BTreeMap<(ServiceName, ServerInstance), MonoTime>,
     /// Services whose settled holders have tokens issued under this lease, with its revision.
     fenced_services: BTreeMap<ServiceName, u64>,
+    /// Revision of the record that was last written under this lease, by service.
+    written_revisions: BTreeMap<ServiceName, u64>,
 }
 
 impl AssignerTerm {
@@ -173,6 +175,7 @@
             token_requests: Vec::new(),
             grants_renewed_at: BTreeMap::new(),
             fenced_services: BTreeMap::new(),
+            written_revisions: BTreeMap::new(),
         }
     }
 }
@@ -259,9 +262,7 @@
         let Some(lease) = self.lease().filter(|it| it.is_valid(now)) else {
             return;
         };
-        // The store may drop a lease early; another process may then have written the record.
-        let is_held = |it: &StoredAssigner| it.revision == lease.revision;
-        if !snapshot.assigner.as_ref().is_some_and(is_held) {
+        if !lease.is_recorded_in(&snapshot) {
             return self.step_down("replaced");
         }
         while let Ok(event) = self.term.events.1.try_recv() {
@@ -279,8 +280,12 @@
             // Makes all renewals due, so that servers get the new hold time at once.
             self.term.grants_renewed_at.clear();
         }
+        // Planning takes as long as the store takes to answer; by then, the state may be a successor's.
         let snapshot = self.channel.current();
-        self.send_orders(&snapshot, now);
+        if !lease.is_recorded_in(&snapshot) {
+            return self.step_down("replaced");
+        }
+        self.send_orders(&snapshot, self.clock.now());
     }
 
     async fn handle_order_event(&mut self, event: OrderEvent) {
@@ -318,6 +323,11 @@
         self.term.state.borrow_mut().prune(now);
         let may_move_at = self.term.state.borrow().earlier.may_move_at;
         for (service, stored) in &snapshot.shards {
+            // Ahead of the change stream, the state shows no lease under which the record was written.
+            let is_ahead = stored.revision > snapshot.revision;
+            if is_ahead && self.term.written_revisions.get(service) != Some(&stored.revision) {
+                continue;
+            }
             self.term.state.borrow_mut().records.insert(service.clone(), stored.record.clone());
             self.revisions.insert(service.clone(), stored.revision);
             // No orders until the record has tokens that fence off the predecessor.
--- a/crates/entry/src/assigner/order_state.rs
+++ b/crates/entry/src/assigner/order_state.rs
@@ -29,6 +29,12 @@
     pub(super) fn is_valid(&self, now: MonoTime) -> bool {
         now.since(self.renewed_at) < LEASE_VALIDITY
     }
+
+    /// Whether the state shows the record that was written under the lease. The store may drop a lease
+    /// early; another process may then have written the record.
+    pub(super) fn is_recorded_in(&self, snapshot: &StateSnapshot) -> bool {
+        snapshot.assigner.as_ref().is_some_and(|it| it.revision == self.revision)
+    }
 }
 
 /// Bounds on what holders of earlier leases may still do.
--- a/crates/entry/src/assigner/planning.rs
+++ b/crates/entry/src/assigner/planning.rs
@@ -162,6 +162,7 @@
                     "moving" => next.entries.iter().filter(|it| !it.is_settled()).count());
                 self.written_at = self.clock.now();
                 self.revisions.insert(service.clone(), revision);
+                self.term.written_revisions.insert(service.clone(), revision);
                 self.term.granted.retain(|it| it.0 != *service);
                 self.term.token_requests.retain(|it| it.0 != *service);
                 self.term.fenced_services.entry(service.clone()).or_insert(lease.revision);
