--- a/review/standins-2/kit.rs
+++ b/review/standins-2/kit.rs
@@ -2,7 +2,7 @@
 //! project. Standard library only. They follow the operators' pages; what a case adds to that is in the case.
 #![allow(dead_code)]
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::fs::File;
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -456,6 +456,8 @@
     pub state: Arc<(Mutex<StoreState>, Condvar)>,
     /// Decides on each call by the caller's address.
     pub mode: Arc<Mutex<Box<dyn Fn(SocketAddr, &HttpRequest) -> StoreMode + Send>>>,
+    /// Further addresses of the store that are cut off: calls there are silent.
+    pub cut_doors: Arc<Mutex<HashSet<SocketAddr>>>,
 }
 
 impl StoreState {
@@ -502,6 +504,7 @@
             address: listener.local_addr().unwrap(),
             state: Arc::default(),
             mode: Arc::new(Mutex::new(Box::new(|_, _| StoreMode::Serve))),
+            cut_doors: Arc::default(),
         };
         lock(&store.state.0).revision = 100;
         let it = store.clone();
@@ -525,6 +528,15 @@
         *lock(&self.mode) = Box::new(mode);
     }
 
+    /// Opens a further address of the store.
+    pub fn door(&self, ip: &str) -> SocketAddr {
+        let listener = TcpListener::bind((ip, 0)).expect("bind the store");
+        let address = listener.local_addr().unwrap();
+        let it = self.clone();
+        serve(listener, move |stream| it.connection(stream));
+        address
+    }
+
     pub fn put(&self, key: &str, value: &str) {
         let mut state = lock(&self.state.0);
         state.revision += 1;
@@ -550,10 +562,14 @@
 
     fn connection(&self, stream: TcpStream) {
         let Ok(peer) = stream.peer_addr() else { return };
+        let Ok(door) = stream.local_addr() else { return };
         let Ok(mut out) = stream.try_clone() else { return };
         let mut reader = BufReader::new(stream);
         while let Ok(Some(request)) = read_request(&mut reader) {
-            let mode = (lock(&self.mode))(peer, &request);
+            let mode = match lock(&self.cut_doors).contains(&door) {
+                true => StoreMode::Silent,
+                false => (lock(&self.mode))(peer, &request),
+            };
             let (status, body) = match mode {
                 StoreMode::Silent => {
                     // Nothing further comes on this connection.
@@ -564,6 +580,12 @@
                 StoreMode::Busy => (503, String::new()),
                 StoreMode::Serve => self.answer(&request),
             };
+            // A cut that began meanwhile holds up the answer as well.
+            if lock(&self.cut_doors).contains(&door) {
+                let mut rest = Vec::new();
+                let _ = reader.read_to_end(&mut rest);
+                return;
+            }
             let headers = [("Content-Type", "application/json".to_owned())];
             if out.write_all(&answer_bytes(status, &headers, body.as_bytes())).is_err() {
                 return;
