--- a/review/standins-2/kit.rs
+++ b/review/standins-2/kit.rs
@@ -753,10 +753,10 @@
     pub fn start(dir: &PathBuf, name: &str, ip: &str, zone: &str, store: SocketAddr) -> Self {
         let directory = dir.join(name);
         std::fs::create_dir_all(&directory).expect("folder of the process");
-        let (front, ready) = (free_port(ip), free_port(ip));
+        let (front, ready, internal, metrics) = (free_port(ip), free_port(ip), free_port(ip), free_port(ip));
         let settings = format!(
             "vm = \"{name}\"\ndomain = \"{zone}\"\ncallers = \"{ip}:{front}\"\nreadiness = \"{ip}:{ready}\"\n\
-             reports_port = 7620\nnews_port = 7620\nmetrics_port = 9464\ncores = 0.2\nstore = \"{store}\"\n\
+             reports_port = {internal}\nnews_port = {internal}\nmetrics_port = {metrics}\ncores = 0.2\nstore = \"{store}\"\n\
              retry_ratio = 0.2\nretry_slack = 62\nretry_window = \"10s\"\nmax_hold = \"10000ms\"\n\
              grace = \"6s\"\ndrain = \"2000ms\"\nplan_deadline = \"2000ms\"\nevacuation = \"5000ms\"\n\
              memory_mb = 260\n"
